--- /dev/null
+++ b/brain/api.go
@@ -0,0 +1,167 @@
+// Package brain decides, for one router, what happens to every command: shed, held, or sent to an engine.
+//
+// This file is the interface and holds no decision. A host makes one Brain per router with New, calls its
+// methods as things happen, each with the current time, and carries out what comes back through Host. Nothing
+// here knows a wire. Times are seconds on any clock that only advances; ids are the host's and come back unaltered.
+package brain
+
+// Host is what the module asks of its surroundings. Calls are carried out in the order made.
+type Host interface {
+	Send(id, engine uint32, limit float64)        // a send that ends by itself after limit
+	Shed(id uint32, pause float64)                // final: a retry is harmless, best after pause (0: no guidance)
+	Fail(id uint32)                               // final: nothing is promised
+	Cancel(id uint32, send int)                   // stop waiting for that send
+	Probe(engine uint32)                          // ask an engine how it is; Probed answers
+	Priority(id uint32, level int, grant float64) // 0 to 3, at once; grant: memory of later sends, 0 engine's choice
+	Wake(after float64, token uint64)             // Woken with that token, not before
+	Tell(peer int, data []byte)                   // a short message to another router, -1 for all
+	Watch(on bool)                                // follow the list of engines, where it must be asked for
+	Log(text string)                              // a line for the people on call
+}
+
+// Effect says what running a command twice does.
+type Effect uint8
+
+const (
+	Replayable    Effect = iota // may run again
+	Uniqued                     // a repeat is known by its mark, within Group and Window
+	NonReplayable               // must never run twice
+)
+
+// Group says which engines drop the repeats of a uniqued command.
+type Group uint8
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Profile is the settings of one kind of command.
+type Profile struct {
+	Target, Stretch      float64 // latency target, and what it grows by per second of work on each thread
+	Timeout              float64 // the client's, over all its tries
+	Benefit, LateBenefit float64 // of an answer in time; share of that for one after the target
+	Effect               Effect
+	Group                Group
+	Window               float64 // how long repeats are dropped
+	Ordered, Streamed    bool
+	Zones, Kinds         []int // the only places allowed; nil: any
+	Threads              int
+}
+
+// Tenant has a share of the service.
+type Tenant struct{ QuotaPerS float64 }
+
+// Settings are fixed for the life of a Brain. A zero figure means that the rule or liberty does not exist.
+type Settings struct {
+	Seed              uint64
+	Me, Routers, Zone int
+	Tick              float64
+	Profiles          []Profile
+	Tenants           []Tenant
+	OverShareBenefit  float64   // benefit of a command beyond its tenant's quota, as a share
+	KindCores         []float64 // cores by kind of machine; empty: not known
+	Ask               bool      // the list comes only when watched
+
+	Cancels, Probes, Peers, SecondCopies, Pauses bool
+	Priorities                                   bool
+	Progress                                     float64 // period of notes on a send that is out
+	MaxSends                                     int
+	MaxPause                                     float64
+
+	AnswerSlack, DrainGrace                    float64
+	ColdFrom, WarmUp, FallMultiple, FallWindow float64
+	KeyRest                                    float64
+	Budget                                     bool // further sends are rationed
+	BudgetFree, BudgetShare, BudgetWindow      float64
+}
+
+// State of an engine as the list has it.
+type State uint8
+
+const (
+	Gone State = iota
+	Draining
+	Ready
+)
+
+// Scope of a list event.
+type Scope uint8
+
+const (
+	Delta     Scope = iota // changed entries only
+	Cached                 // the whole list, possibly out of date
+	Full                   // the whole list
+	FailedAsk              // no entries: asking failed or the subscription broke
+)
+
+// Entry is one engine of the list.
+type Entry struct {
+	Engine           uint32
+	Kind, Zone, Cell int
+	Weight           float64
+	ReadyAt          float64 // latest start, 0: long past
+	State            State
+}
+
+// Command is one try of a client.
+type Command struct {
+	ID              uint32
+	Profile, Tenant int
+	Key             uint64  // order key, 0: none
+	TimeLeft        float64 // before the client gives this try up
+	Cost            float64 // estimate of the work over all threads, 0: none
+	Memory          float64 // estimate in MB, 0: none
+	Area            uint32  // subject area that it reads
+	Retry           bool    // known to be a client's repeat
+}
+
+// End is how a send ended.
+type End uint8
+
+const (
+	Answered End = iota
+	Errored
+	TurnedAway
+	TimedOut
+	Unreachable
+	Cut
+	Cancelled
+	Moot
+)
+
+// NeverRan tells whether the end proves that the engine did nothing.
+func (e End) NeverRan() bool { return e == TurnedAway || e == Unreachable || e == Moot }
+
+// Load is an engine's own word on itself. Fields that are not reported are negative.
+type Load struct{ Held, Waiting, Cores, Memory, Disks float64 }
+
+// Outcome of one send.
+type Outcome struct {
+	ID, Engine uint32
+	Send       int
+	End        End
+	Lag        float64 // since the send
+	Over       bool    // the command has had its final answer
+	Work       float64 // true work, 0: not told
+	Memory     float64 // true need in MB
+	Load       *Load   // nil: none came along
+}
+
+// NoteKind is what a note tells of a send that is out.
+type NoteKind uint8
+
+const (
+	Progressed NoteKind = iota + 1 // Value: share done
+	Spilling                       // Value: MB missing
+	Waiting                        // Value: 1 for memory, 2 for a load
+)
+
+// Note tells of a send that is out.
+type Note struct {
+	ID, Engine uint32
+	Send       int
+	Kind       NoteKind
+	Value      float64
+}
--- /dev/null
+++ b/brain/histogram.go
@@ -0,0 +1,92 @@
+package brain
+
+import "math"
+
+// histogram counts values in buckets whose bounds grow by a fixed ratio.
+type histogram struct {
+	low, logRatio float64
+	counts        []float64
+	n, sum        float64
+}
+
+func newHistogram(low, high, ratio float64) histogram {
+	lr := math.Log(ratio)
+	return histogram{low: low, logRatio: lr, counts: make([]float64, int(math.Log(high/low)/lr)+2)}
+}
+
+func (h *histogram) add(v float64) {
+	i := 0
+	if v > h.low {
+		i = min(int(math.Log(v/h.low)/h.logRatio)+1, len(h.counts)-1)
+	}
+	h.counts[i]++
+	h.n++
+	h.sum += v
+}
+
+// copyScaled makes h hold what o holds, every count times f.
+func (h *histogram) copyScaled(o *histogram, f float64) {
+	for i, c := range o.counts {
+		h.counts[i] = c * f
+	}
+	h.n, h.sum = o.n*f, o.sum*f
+}
+
+func (h *histogram) mean() float64 {
+	if h.n == 0 {
+		return 0
+	}
+	return h.sum / h.n
+}
+
+// quantile is the upper bound of the bucket in which share q of the counts is reached.
+func (h *histogram) quantile(q float64) float64 {
+	want, seen := q*h.n, 0.0
+	for i, c := range h.counts {
+		if seen += c; seen >= want && seen > 0 {
+			return h.low * math.Exp(float64(i)*h.logRatio)
+		}
+	}
+	return 0
+}
+
+// window sums amounts over a sliding span, kept in steps.
+type window struct {
+	step  float64
+	sums  []float64
+	first int64 // step number of the newest bucket
+}
+
+func newWindow(span float64, steps int) window {
+	return window{step: span / float64(steps), sums: make([]float64, steps+1), first: math.MinInt64}
+}
+
+func (w *window) advance(now float64) {
+	k, n := int64(math.Floor(now/w.step)), int64(len(w.sums))
+	for i := max(w.first+1, k-n+1); i <= k; i++ {
+		w.sums[((i%n)+n)%n] = 0
+	}
+	w.first = max(w.first, k)
+}
+
+func (w *window) add(now, v float64) {
+	w.advance(now)
+	n := int64(len(w.sums))
+	w.sums[((w.first%n)+n)%n] += v
+}
+
+// most sums everything in the span and the whole of the step that its start cuts.
+func (w *window) most(now float64) (sum float64) {
+	w.advance(now)
+	for _, v := range w.sums {
+		sum += v
+	}
+	return sum
+}
+
+// least sums only the steps that lie wholly inside the span.
+func (w *window) least(now float64) float64 {
+	n := int64(len(w.sums))
+	sum := w.most(now)
+	return sum - w.sums[(((w.first+1)%n)+n)%n]
+}
--- /dev/null
+++ b/internal/benchwire/serve.go
@@ -0,0 +1,308 @@
+package benchwire
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+
+	"dunereach/brain"
+)
+
+const ms = 1e-3
+
+// router is one hosted instance. It shares nothing but the reply that its actions are written to.
+type router struct {
+	id     uint32
+	mind   *brain.Brain
+	fields []string // order of load report values
+	load   brain.Load
+	out    *reply
+}
+
+type server struct {
+	routers map[uint32]*router
+	pages   [16][]brain.Entry
+	set     [16]bool
+	out     reply
+	now     float64 // seconds
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	s := server{routers: map[uint32]*router{}}
+	var buf bytes.Buffer
+	for n := 1; ; n++ {
+		b, err := readBatch(in, &buf)
+		if err == io.EOF {
+			return nil
+		}
+		if err == nil {
+			s.out.reset()
+			err = s.play(&b)
+		}
+		if err != nil {
+			return fmt.Errorf("batch %d: %v", n, err)
+		}
+		if _, err = out.Write(s.out.finish()); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *server) play(b *batch) error {
+	s.now = b.clock * ms
+	var r *router
+	selected, id := false, uint32(0)
+	for at := 0; at < len(b.events); at += eventSize {
+		e := b.events[at : at+eventSize]
+		var err error
+		switch code := e[0]; code {
+		case 130: // Select
+			selected, id = true, be.Uint32(e[1:])
+			r = s.routers[id]
+		case 120: // SnapshotRows
+			err = s.page(b, e)
+		case 10: // Init
+			if !selected {
+				err = fmt.Errorf("Init before any Select")
+			} else {
+				r, err = s.start(b, e, id)
+			}
+		case 20, 30, 40, 50, 60, 70, 80, 90, 100, 110:
+			if r == nil {
+				err = fmt.Errorf("event for an instance that was not started")
+			} else if code == 100 { // Halt
+				delete(s.routers, id)
+				r = nil
+			} else {
+				err = s.event(b, e, r)
+			}
+		default:
+			err = fmt.Errorf("unknown event")
+		}
+		if err != nil {
+			return fmt.Errorf("record %d (code %d): %v", at/eventSize, e[0], err)
+		}
+	}
+	return nil
+}
+
+func (s *server) page(b *batch, e []byte) error {
+	page := be.Uint16(e[1:])
+	if int(page) >= len(s.pages) {
+		return fmt.Errorf("list number %d", page)
+	}
+	rows, err := b.ref(e[3:], entrySize)
+	if err != nil {
+		return err
+	}
+	list := s.pages[page][:0]
+	for ; len(rows) > 0; rows = rows[entrySize:] {
+		state := brain.Gone
+		switch rows[16] {
+		case 0:
+		case 1:
+			state = brain.Draining
+		case 3:
+			state = brain.Ready
+		default:
+			return fmt.Errorf("entry with status %d", rows[16])
+		}
+		list = append(list, brain.Entry{
+			Kind: int(be.Uint16(rows)), Weight: f32(rows[2:]), ReadyAt: f64(rows[6:]) * ms,
+			Cell: int(be.Uint16(rows[14:])), State: state, Zone: int(be.Uint16(rows[17:])), Engine: be.Uint32(rows[19:]),
+		})
+	}
+	s.pages[page], s.set[page] = list, true
+	return nil
+}
+
+func (s *server) start(b *batch, e []byte, id uint32) (*router, error) {
+	text, err := b.ref(e[9:], 1)
+	if err != nil {
+		return nil, err
+	}
+	set, fields, err := settings(text, be.Uint64(e[1:]))
+	if err != nil {
+		return nil, err
+	}
+	r := &router{id: id, fields: fields, out: &s.out}
+	s.routers[id] = r
+	s.out.router = id
+	r.guard(func() { r.mind = brain.New(set, s.now, r) })
+	return r, nil
+}
+
+// guard turns a panic of the module into GiveIn.
+func (r *router) guard(call func()) {
+	defer r.caught()
+	call()
+}
+
+func (r *router) caught() {
+	if p := recover(); p != nil {
+		r.out.attach(r.out.record(90), fmt.Sprint(p))
+	}
+}
+
+func (s *server) event(b *batch, e []byte, r *router) error {
+	s.out.router = r.id
+	if r.mind == nil {
+		return nil // it gave in while starting
+	}
+	defer r.caught()
+	m, now := r.mind, s.now
+	switch e[0] {
+	case 20: // PeersKnown
+		scopes := [4]brain.Scope{brain.Delta, brain.Cached, brain.Full, brain.FailedAsk}
+		if e[1] > 3 {
+			return fmt.Errorf("list scope %d", e[1])
+		}
+		var list []brain.Entry
+		if e[1] != 3 {
+			page := be.Uint16(e[6:])
+			if int(page) >= len(s.pages) || !s.set[page] {
+				return fmt.Errorf("list number %d was never given", page)
+			}
+			list = s.pages[page]
+		}
+		m.Members(now, scopes[e[1]], list)
+	case 30: // WorkItem
+		c := brain.Command{
+			ID: be.Uint32(e[1:]), Profile: int(e[5]), Tenant: int(be.Uint16(e[6:])), Key: be.Uint64(e[8:]),
+			TimeLeft: f64(e[16:]) * ms, Memory: f32(e[32:]), Area: uint32(f32(e[36:])), Retry: e[40]&2 != 0,
+		}
+		if e[40]&1 != 0 {
+			c.Cost = f64(e[24:]) * ms
+		}
+		if c.Profile >= len(m.Settings().Profiles) {
+			return fmt.Errorf("class %d of %d", c.Profile, len(m.Settings().Profiles))
+		}
+		if math.IsNaN(c.TimeLeft) || math.IsNaN(c.Cost) {
+			return fmt.Errorf("a time is not a number")
+		}
+		m.Command(now, c)
+	case 40: // UnderWay
+		m.Started(now, be.Uint32(e[1:]), int(be.Uint16(e[13:])))
+	case 50: // Outcome
+		o := brain.Outcome{
+			ID: be.Uint32(e[1:]), Lag: f64(e[7:]) * ms, Over: e[15] != 0,
+			Engine: be.Uint32(e[20:]), Send: int(be.Uint16(e[24:])), Load: r.report(e[26:]),
+		}
+		var err error
+		if o.End, err = end(be.Uint16(e[5:])); err != nil {
+			return err
+		}
+		if cost := be.Uint32(e[16:]); o.End == brain.Answered && cost > 0 {
+			o.Work, o.Memory = float64(cost>>12)*ms, float64(cost&0xfff)*4
+		}
+		m.Outcome(now, o)
+	case 60: // Left
+		m.Left(now, be.Uint32(e[1:]))
+	case 70: // Due
+		m.Woken(now, be.Uint64(e[1:]))
+	case 80: // Pong
+		how, err := end(be.Uint16(e[1:]))
+		if err != nil {
+			return err
+		}
+		m.Probed(now, be.Uint32(e[11:]), how, f64(e[3:])*ms, r.report(e[15:]))
+	case 90: // FromPeer
+		data, err := b.ref(e[5:], 1)
+		if err != nil {
+			return err
+		}
+		m.Peer(now, int(be.Uint32(e[1:])), data)
+	case 110: // StatusNote
+		m.Note(now, brain.Note{
+			ID: be.Uint32(e[1:]), Kind: brain.NoteKind(e[5]), Send: int(be.Uint16(e[6:])),
+			Value: f32(e[8:]), Engine: be.Uint32(e[12:]),
+		})
+	}
+	return nil
+}
+
+func end(code uint16) (brain.End, error) {
+	if code%10 != 0 || code < 10 || code > 80 {
+		return 0, fmt.Errorf("unknown outcome %d", code)
+	}
+	return brain.End(code/10 - 1), nil
+}
+
+// report reads a load report; the result is good until the next.
+func (r *router) report(e []byte) *brain.Load {
+	n := int(e[0])
+	if n == 0 || n > 4 || n > len(r.fields) {
+		return nil
+	}
+	r.load = brain.Load{Held: -1, Waiting: -1, Cores: -1, Memory: -1, Disks: -1}
+	for i := range n {
+		v := f32(e[1+4*i:])
+		switch r.fields[i] {
+		case "active":
+			r.load.Held = v
+		case "waiting":
+			r.load.Waiting = v
+		case "cpu":
+			r.load.Cores = v
+		case "x0":
+			r.load.Memory = v
+		case "x1":
+			r.load.Disks = v
+		}
+	}
+	return &r.load
+}
+
+// The calls out, each one record of the reply.
+
+func (r *router) Send(id, engine uint32, limit float64) {
+	f := r.out.record(30)
+	be.PutUint32(f, id)
+	be.PutUint64(f[4:], math.Float64bits(limit/ms))
+	be.PutUint32(f[12:], engine)
+}
+
+func (r *router) Shed(id uint32, pause float64) {
+	f := r.out.record(50)
+	be.PutUint32(f, id)
+	be.PutUint64(f[4:], math.Float64bits(pause/ms))
+}
+
+func (r *router) Fail(id uint32) { be.PutUint32(r.out.record(140), id) }
+
+func (r *router) Cancel(id uint32, send int) {
+	f := r.out.record(100)
+	be.PutUint32(f, id)
+	be.PutUint16(f[4:], uint16(send))
+}
+
+func (r *router) Probe(engine uint32) { be.PutUint32(r.out.record(70), engine) }
+
+func (r *router) Priority(id uint32, level int, grant float64) {
+	f := r.out.record(110)
+	be.PutUint32(f, id)
+	f[4] = byte(level)
+	be.PutUint32(f[5:], math.Float32bits(float32(grant)))
+}
+
+func (r *router) Wake(after float64, token uint64) {
+	f := r.out.record(60)
+	be.PutUint64(f, math.Float64bits(max(after, 0)/ms))
+	be.PutUint64(f[8:], token)
+}
+
+func (r *router) Tell(peer int, data []byte) {
+	f := r.out.record(130)
+	be.PutUint16(f, uint16(peer)) // -1 sets every bit: all peers
+	r.out.attach(f[2:], string(data))
+}
+
+func (r *router) Watch(on bool) {
+	if f := r.out.record(80); on {
+		f[0] = 1
+	}
+}
+
+func (r *router) Log(text string) { r.out.attach(r.out.record(40), text) }
--- /dev/null
+++ b/internal/benchwire/settings.go
@@ -0,0 +1,97 @@
+package benchwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"dunereach/brain"
+)
+
+// bootInfo is the wire's settings; times are in milliseconds. Unknown keys are skipped.
+type bootInfo struct {
+	Balancers, Me, MyZone int
+	Tick                  float64
+	Discovery             string
+	OverShareWorth        float64
+	Classes               []struct {
+		Aim, AimStretch, Deadline, DedupWindow, LateWorth, Worth float64
+		Effect, Group                                            string
+		Streamed, ByArrival                                      bool
+		RunsIn, KindsOnly                                        []int
+	}
+	FamilyInfo struct {
+		CpuOfKind   []float64
+		Dop         []int
+		RanksHeeded bool
+		Progress    float64
+	}
+	Limits struct {
+		Cancel, Peers, Probes, RetryAfter, SecondCopies bool
+		MaxRetryAfter                                   float64
+		SendCap                                         int
+	}
+	LoadInfo    struct{ Fields []string }
+	Obligations struct {
+		AnswerSlack, ColdFrom, DrainGrace, Fall, FallMultiple, WarmUp, KeyRest float64
+		ExtraFree, FurtherRatio, LookBack                                      *float64
+	}
+	Realms []struct{ QuotaPerS float64 }
+}
+
+var effects = map[string]brain.Effect{
+	"safe": brain.Replayable, "keyed": brain.Uniqued, "unsafe": brain.NonReplayable,
+}
+
+var groups = map[string]brain.Group{"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell}
+
+// settings turns the wire's settings into the module's, and gives the order of load report values.
+func settings(text []byte, seed uint64) (s brain.Settings, fields []string, err error) {
+	var b bootInfo
+	if err = json.Unmarshal(text, &b); err != nil {
+		return s, nil, fmt.Errorf("settings: %v", err)
+	}
+	const ms = 1e-3
+	s = brain.Settings{
+		Seed: seed, Me: b.Me, Routers: max(b.Balancers, 1), Zone: b.MyZone, Tick: b.Tick * ms,
+		OverShareBenefit: b.OverShareWorth, KindCores: b.FamilyInfo.CpuOfKind, Ask: b.Discovery == "ask",
+		Cancels: b.Limits.Cancel, Probes: b.Limits.Probes, Peers: b.Limits.Peers,
+		SecondCopies: b.Limits.SecondCopies, Pauses: b.Limits.RetryAfter, Priorities: b.FamilyInfo.RanksHeeded,
+		Progress: b.FamilyInfo.Progress * ms, MaxSends: b.Limits.SendCap, MaxPause: b.Limits.MaxRetryAfter * ms,
+		AnswerSlack: b.Obligations.AnswerSlack * ms, DrainGrace: b.Obligations.DrainGrace * ms,
+		ColdFrom: b.Obligations.ColdFrom, WarmUp: b.Obligations.WarmUp * ms,
+		FallMultiple: b.Obligations.FallMultiple, FallWindow: b.Obligations.Fall * ms,
+		KeyRest: b.Obligations.KeyRest * ms,
+	}
+	if o := b.Obligations; o.LookBack != nil && *o.LookBack > 0 {
+		s.Budget, s.BudgetWindow = true, *o.LookBack*ms
+		if o.ExtraFree != nil {
+			s.BudgetFree = *o.ExtraFree
+		}
+		if o.FurtherRatio != nil {
+			s.BudgetShare = *o.FurtherRatio
+		}
+	}
+	for _, t := range b.Realms {
+		s.Tenants = append(s.Tenants, brain.Tenant{QuotaPerS: t.QuotaPerS})
+	}
+	for i, c := range b.Classes {
+		effect, ok := effects[c.Effect]
+		group, ok2 := groups[c.Group]
+		if !ok || !ok2 {
+			return s, nil, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
+		}
+		p := brain.Profile{
+			Target: c.Aim * ms, Stretch: c.AimStretch, Timeout: c.Deadline * ms, Benefit: c.Worth,
+			LateBenefit: c.LateWorth, Effect: effect, Group: group, Window: c.DedupWindow * ms,
+			Ordered: c.ByArrival, Streamed: c.Streamed, Zones: c.RunsIn, Kinds: c.KindsOnly, Threads: 1,
+		}
+		if i < len(b.FamilyInfo.Dop) {
+			p.Threads = max(b.FamilyInfo.Dop[i], 1)
+		}
+		s.Profiles = append(s.Profiles, p)
+	}
+	if len(s.Profiles) == 0 {
+		return s, nil, fmt.Errorf("settings: no classes")
+	}
+	return s, b.LoadInfo.Fields, nil
+}
