--- a/brain/slab.go
+++ b/brain/slab.go
@@ -1,14 +1,15 @@
 package brain
 
+import "sort"
+
 // send is one send that is out.
 type send struct {
-	engine   int32   // index into the engines, -1: this place is free
-	number   int     // counting the command's sends from 0
-	at       float64 // when it left
-	expect   float64 // how long it should take on a free engine
-	heard    float64 // last sign of it
-	progress float64 // share done, as last told
-	pace     float64 // share done a second, as last told
+	engine int32   // index into the engines, -1: this place is free
+	number int     // counting the command's sends from 0
+	at     float64 // when it left
+	expect float64 // how long it should take
+	done   float64 // share done, as last told
+	asked  bool    // its cancel has been asked for
 }
 
 // record is one command in hand: until it has its final answer and no send of it is out.
@@ -22,9 +23,9 @@
 	out         [2]send
 	outs, sends int
 	avoid       int32   // engine that last failed it, -1: none
-	mayRun      bool    // a send may have run
-	ranAt       float64 // when the first of those left
-	ranZone     int     // and where to
+	mayRun      bool    // an ended send may have run
+	ranAt       float64 // when the first of those left, and where to
+	ranZone     int
 	ranCell     int
 	short       bool
 	held        bool
@@ -34,16 +35,48 @@
 	next        int32 // next of the same order key, -1: none
 }
 
-// slab holds records in places that are reused.
+// settle takes the send of that number off the record; ok is false where none is out.
+func (r *record) settle(number int) (s send, ok bool) {
+	for k := range r.out {
+		if r.out[k].engine >= 0 && r.out[k].number == number {
+			s, r.out[k].engine = r.out[k], -1
+			r.outs--
+			return s, true
+		}
+	}
+	return s, false
+}
+
+// firstRisk is when the earliest send left that may have run or may run yet.
+func (r *record) firstRisk() (at float64, risk bool) {
+	at, risk = r.ranAt, r.mayRun
+	for k := range r.out {
+		if r.out[k].engine >= 0 && (!risk || r.out[k].at < at) {
+			at, risk = r.out[k].at, true
+		}
+	}
+	return at, risk
+}
+
+// line is the commands of one order key, in the order taken.
+type line struct {
+	head, tail int32
+	until      float64 // nothing is sent before
+}
+
+// slab holds records in places that are reused, the line of held ones by rank, and the lines of order keys.
 type slab struct {
 	rec  []record
 	free []int32
 	at   map[uint32]int32
+	held []int32
+	keys map[uint64]line
+	rest []uint64 // keys with nothing in line that may still rest
 }
 
-func newSlab() slab { return slab{at: map[uint32]int32{}} }
+func newSlab() slab { return slab{at: map[uint32]int32{}, keys: map[uint64]line{}} }
 
-func (s *slab) take(id uint32) int32 {
+func (s *slab) take(c Command) int32 {
 	var i int32
 	if n := len(s.free); n > 0 {
 		i, s.free = s.free[n-1], s.free[:n-1]
@@ -51,18 +84,85 @@
 		i = int32(len(s.rec))
 		s.rec = append(s.rec, record{})
 	}
-	s.rec[i] = record{avoid: -1, next: -1, inUse: true, out: [2]send{{engine: -1}, {engine: -1}}}
-	s.at[id] = i
+	s.rec[i] = record{Command: c, avoid: -1, next: -1, inUse: true, out: [2]send{{engine: -1}, {engine: -1}}}
+	s.at[c.ID] = i
 	return i
 }
 
-func (s *slab) find(id uint32) (int32, bool) {
-	i, ok := s.at[id]
-	return i, ok
-}
-
 func (s *slab) release(i int32) {
 	delete(s.at, s.rec[i].ID)
 	s.rec[i].inUse = false
 	s.free = append(s.free, i)
 }
+
+// hold puts a record into the held line, behind those of its rank.
+func (s *slab) hold(i int32) {
+	r := &s.rec[i]
+	if r.held {
+		return
+	}
+	r.held = true
+	k := sort.Search(len(s.held), func(k int) bool { return s.rec[s.held[k]].rank > r.rank })
+	s.held = append(s.held, 0)
+	copy(s.held[k+1:], s.held[k:])
+	s.held[k] = i
+}
+
+func (s *slab) unhold(i int32) {
+	if !s.rec[i].held {
+		return
+	}
+	s.rec[i].held = false
+	for k, h := range s.held {
+		if h == i {
+			s.held = append(s.held[:k], s.held[k+1:]...)
+			return
+		}
+	}
+}
+
+// enlist puts a record at the back of its key's line.
+func (s *slab) enlist(i int32) {
+	l, ok := s.keys[s.rec[i].Key]
+	if !ok || l.head < 0 {
+		l.head = i
+	} else {
+		s.rec[l.tail].next = i
+	}
+	l.tail = i
+	s.keys[s.rec[i].Key] = l
+}
+
+// restKey keeps a key's line still until then.
+func (s *slab) restKey(key uint64, until float64) {
+	l := s.keys[key]
+	l.until = max(l.until, until)
+	s.keys[key] = l
+}
+
+// moveOn releases what is over at the front of a key's line; those behind may be over already.
+func (s *slab) moveOn(key uint64) {
+	l := s.keys[key]
+	for l.head >= 0 && s.rec[l.head].done && s.rec[l.head].outs == 0 {
+		h := l.head
+		l.head = s.rec[h].next
+		s.release(h)
+	}
+	s.keys[key] = l
+	if l.head < 0 {
+		s.rest = append(s.rest, key)
+	}
+}
+
+// sweep forgets keys whose line is empty and whose rest is over.
+func (s *slab) sweep(now float64) {
+	kept := s.rest[:0]
+	for _, key := range s.rest {
+		if l, ok := s.keys[key]; ok && l.head < 0 && l.until > now {
+			kept = append(kept, key)
+		} else if ok && l.head < 0 {
+			delete(s.keys, key)
+		}
+	}
+	s.rest = kept
+}
--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -13,11 +13,12 @@
 
 // router is one hosted instance. It shares nothing but the reply that its actions are written to.
 type router struct {
-	id     uint32
-	mind   *brain.Brain
-	fields []string // order of load report values
-	load   brain.Load
-	out    *reply
+	id       uint32
+	mind     *brain.Brain
+	profiles int
+	fields   []string // order of load report values
+	load     brain.Load
+	out      *reply
 }
 
 type server struct {
@@ -127,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{id: id, fields: fields, out: &s.out}
+	r := &router{id: id, profiles: len(set.Profiles), fields: fields, out: &s.out}
 	s.routers[id] = r
 	s.out.router = id
 	r.guard(func() { r.mind = brain.New(set, s.now, r) })
@@ -176,8 +177,8 @@
 		if e[40]&1 != 0 {
 			c.Cost = f64(e[24:]) * ms
 		}
-		if c.Profile >= len(m.Settings().Profiles) {
-			return fmt.Errorf("class %d of %d", c.Profile, len(m.Settings().Profiles))
+		if c.Profile >= r.profiles {
+			return fmt.Errorf("class %d of %d", c.Profile, r.profiles)
 		}
 		if math.IsNaN(c.TimeLeft) || math.IsNaN(c.Cost) {
 			return fmt.Errorf("a time is not a number")
