--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,12 +49,13 @@
 	cores   float64
 	threads float64 // ours that are out there
 	outs    int
-	slow    float64 // slowdown of answers, and when it was last learned
+	slow    float64 // slowdown against the usual of each profile, and when it was last learned
 	slowAt  float64
 	fails   float64 // recent share of sends that failed there
 	sign    float64 // last sign of life, and the usual gap between two
 	gap     float64
-	overdue int
+	overdue int // sends long past what they should take, and what the shortest of them should
+	short   float64
 	fullTo  float64 // it turned us away: nothing before then
 	ill     bool    // gets one trial send at a time
 	trial   bool    // and that is out
@@ -469,7 +470,7 @@
 		return false
 	case e.ill:
 		return r.short && !e.trial && b.now >= e.trialAt && p.Effect == Replayable
-	case !b.pressed(e) || e.threads == 0:
+	case !b.pressed(p, e) || e.threads == 0:
 		return true
 	case r.short:
 		// The lane goes past full places, but not without end: an engine that holds several threads a core does
@@ -486,13 +487,14 @@
 	return e.cores * perCore * b.share
 }
 
-// pressed: answers come well above best, or our own threads alone fill the cores.
-func (b *Brain) pressed(e *engine) bool {
+// pressed: answers of the profile come well above best there, or our own threads alone fill the cores.
+func (b *Brain) pressed(p *profile, e *engine) bool {
 	const wellAbove = 1.8
-	return b.slowOf(e) > wellAbove || e.threads >= 1.5*e.cores
+	return p.slow*b.slowOf(e) > wellAbove || e.threads >= 1.5*e.cores
 }
 
-// slowOf is the learned slowdown; without news it fades, so that a shunned engine gets another chance.
+// slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual, since
+// priorities make profiles differ. Without news it fades, so that a shunned engine gets another chance.
 func (b *Brain) slowOf(e *engine) float64 {
 	const fade = 4.0 // seconds: a few reports long
 	return 1 + (e.slow-1)*math.Exp(-(b.now-e.slowAt)/fade)
@@ -567,9 +569,9 @@
 		if work == 0 {
 			work = r.cost
 		}
-		// Longer work tells more of how crowded the engine is; tiny commands are mostly delay.
+		// Longer work tells more of the engine; tiny commands are mostly delay.
 		was := b.slowOf(e)
-		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slowdown(o, p, work)-was), b.now
+		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slowdown(o, p, work)/max(p.slow, 0.1)-was), b.now
 		if e.ill {
 			e.fails *= 0.5
 			if e.fails < 0.1 {
@@ -587,7 +589,7 @@
 	case TurnedAway:
 		// Full: a short rest, or what it turns away comes straight back and the storm feeds itself.
 		const fullRest = 0.1
-		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 3), b.now, b.now+fullRest
+		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 2), b.now, b.now+fullRest
 	case TimedOut:
 		if e.ill {
 			b.doubt(e, "does not answer")
@@ -678,19 +680,20 @@
 // much longer than usual. A crowded engine still answers now and then.
 func (b *Brain) silence() {
 	for k := range b.engines {
-		b.engines[k].overdue = 0
+		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
 	}
 	for i := range b.cmds.rec {
 		r := &b.cmds.rec[i]
 		for k := range r.out {
 			s := &r.out[k]
 			if r.inUse && s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
-				b.engines[s.engine].overdue++
+				e := &b.engines[s.engine]
+				e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
 			}
 		}
 	}
 	for k := range b.engines {
-		if e := &b.engines[k]; e.overdue >= 2 && !e.ill && b.now-e.sign > max(0.6, 6*e.gap) {
+		if e := &b.engines[k]; e.overdue >= 2 && !e.ill && b.now-e.sign > max(0.6, 6*e.gap, e.short) {
 			b.doubt(e, "is silent")
 		}
 	}
