--- a/brain/brain.go
+++ b/brain/brain.go
@@ -483,7 +483,7 @@
 
 // places of this router on an engine. One place a core would leave cores idle while threads read from disk.
 func (b *Brain) places(e *engine) float64 {
-	const perCore = 1.3
+	const perCore = 1.7
 	return e.cores * perCore * b.share
 }
 
