Carry more of a thin histogram over a swap

Symptom: 6% of commands refused, all reports, at light load, nothing held. Cause: about 20 samples of reports a swap; one odd answer put p90 at 15 s, past the time left. Told from load: engines held under one thread a core, lookups at best. Also covers idle spells; harms where a rare profile truly turns slow: seen some 20 s late.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -659,15 +659,17 @@
 // swapEvery is the design page's 2 s.
 const swapEvery = 2.0
 
-// swap turns the buffers over. A part of the old is carried on: a rare profile has few samples in one period, and
-// a change still shows within two.
+// swap turns the buffers over. A part of the old is carried on, more where it is thin: with some twenty samples one
+// odd command moves the 90th percentile past the time left, and the whole profile would be refused for seconds.
 func (b *Brain) swap() {
-	const carry = 0.5
+	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
 	b.swapAt += swapEvery
 	for k := range b.prof {
 		p := &b.prof[k]
 		p.read, p.fill = p.fill, p.read
-		p.fill.copyScaled(&p.read, carry)
+		if p.fill.copyScaled(&p.read, carry); p.read.n < thin {
+			p.fill.copyScaled(&p.read, carryThin)
+		}
 	}
 	if b.sheds > 0 && b.now >= b.logAt {
 		b.log("shed %d commands, %d held", b.sheds, len(b.cmds.held))
