Routers tell each other their threads, or probe engines for their load

Cause: equal shares were wrong wherever routers die, are cut off or carry unequal traffic; places bound the busy router while engines had room. Where peers may talk each tells its threads by engine five times a second; where engines report held commands each is probed once a second; choice, pressure and places count all threads. A router not heard for 1.5 s is taken to be gone. Harm: news 0.2 to 1.5 s old can send several routers to one engine.

--- a/brain/api.go
+++ b/brain/api.go
@@ -65,6 +65,7 @@
 	Ask               bool      // the list comes only when watched
 
 	Cancels, Probes, Peers, SecondCopies, Pauses bool
+	ProbeLoads                                   bool // a probe tells how many commands an engine holds
 	Priorities                                   bool
 	Progress                                     float64 // period of notes on a send that is out
 	MaxSends                                     int
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,8 +18,11 @@
 	cmds    slab
 	prof    []profile
 	tenants []tenant
-	engines []engine
-	index   map[uint32]int32
+	pool
+	heard   []float64 // when each other router last told its load
+	tellAt  float64
+	message []byte
+	probeAt float64
 	takes   window // commands taken, and sends beyond each one's first
 	further window
 	share   float64 // of every engine, for this router
@@ -43,31 +46,13 @@
 // tenant is a bucket of what its quota still allows.
 type tenant struct{ left, at float64 }
 
-// engine is what this router knows of one engine.
-type engine struct {
-	Entry
-	cores   float64
-	threads float64 // ours that are out there
-	outs    int
-	slow    float64 // slowdown against the usual of each profile, and when it was last learned
-	slowAt  float64
-	fails   float64 // recent share of sends that failed there
-	sign    float64 // last sign of life, and the usual gap between two
-	gap     float64
-	overdue int // sends long past what they should take, and what the shortest of them should
-	short   float64
-	fullTo  float64 // it turned us away: nothing before then
-	ill     bool    // gets one trial send at a time
-	trial   bool    // and that is out
-	trialAt float64 // not before then
-	pause   float64 // between trials
-	cold    window  // usual work sent since its start
-}
-
 // New makes the mind of one router.
 func New(set Settings, now float64, host Host) *Brain {
 	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(),
-		index: map[uint32]int32{}, swapAt: now + swapEvery, mark: math.Inf(1)}
+		pool: pool{index: map[uint32]int32{}}, heard: make([]float64, max(set.Routers, 1)), swapAt: now + swapEvery, mark: math.Inf(1)}
+	for k := range b.heard {
+		b.heard[k] = math.Inf(-1)
+	}
 	// Equal shares: what is known of the others' load, where it is, corrects the guess.
 	b.share = 1 / float64(max(set.Routers, 1))
 	// The allowance's window holds some tens of a rare profile's commands.
@@ -422,7 +407,8 @@
 		if !b.allowed(r, p, e) || !b.fits(r, p, e) {
 			continue
 		}
-		s := (e.threads + float64(p.Threads)) / e.cores * b.slowOf(e)
+		theirs, _ := b.others(e)
+		s := (e.threads + theirs + float64(p.Threads)) / e.cores * b.slowOf(e)
 		if e.Zone != b.set.Zone {
 			s *= 1.1 // elsewhere must be this much emptier: crossing has a small price and delay
 		}
@@ -452,15 +438,6 @@
 		b.set.FallMultiple*b.set.ColdFrom*e.cores*b.set.FallWindow*margin/float64(b.set.Routers)
 }
 
-func among(list []int, v int) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return list == nil
-}
-
 func (b *Brain) isCold(e *engine) bool { return e.ReadyAt > 0 && b.now < e.ReadyAt+b.set.WarmUp }
 
 // fits holds the thread places, which bind only under pressure, and the trials of ill engines.
@@ -484,13 +461,18 @@
 // places of this router on an engine. One place a core would leave cores idle while threads read from disk.
 func (b *Brain) places(e *engine) float64 {
 	const perCore = 1.7
-	return e.cores * perCore * b.share
+	theirs, share := b.others(e)
+	if theirs == 0 {
+		return e.cores * perCore * share
+	}
+	return max(e.cores*perCore-theirs, e.cores*perCore*share)
 }
 
 // pressed: answers of the profile come well above best there, or our own threads alone fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
 	const wellAbove = 1.8
-	return p.slow*b.slowOf(e) > wellAbove || e.threads >= 1.5*e.cores
+	theirs, _ := b.others(e)
+	return p.slow*b.slowOf(e) > wellAbove || e.threads+theirs >= 1.5*e.cores
 }
 
 // slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual, since
@@ -643,6 +625,7 @@
 	}
 	b.cmds.sweep(now)
 	b.silence()
+	b.report()
 	for k := 0; k < len(b.cmds.held); {
 		i := b.cmds.held[k]
 		r := &b.cmds.rec[i]
@@ -709,32 +692,14 @@
 		b.watchAt = now + 1 + b.rnd.float() // spread, since all routers ask one service
 		return
 	}
-	for k := range b.engines {
-		listed := scope == Delta
-		for _, n := range list {
-			listed = listed || n.Engine == b.engines[k].Engine
-		}
-		if !listed {
-			b.engines[k].State = Gone
-		}
-	}
-	for _, n := range list {
-		k, ok := b.index[n.Engine]
-		if !ok {
-			k = int32(len(b.engines))
-			b.index[n.Engine] = k
-			b.engines = append(b.engines, engine{cold: newWindow(max(b.set.FallWindow, 0.001), 10)})
-		}
-		e := &b.engines[k]
-		if !ok || n.ReadyAt != e.ReadyAt {
-			// A new start: what was learned of the old process says nothing.
-			e.slow, e.slowAt, e.fails, e.ill, e.trial, e.gap, e.fullTo = 1, now, 0, false, false, 0, 0
+	b.merge(scope, list, len(b.heard), func(e *engine) {
+		// A new start: what was learned of the old process says nothing.
+		e.slow, e.slowAt, e.fails, e.ill, e.trial, e.gap, e.fullTo = 1, now, 0, false, false, 0, 0
+		if e.cores = 1; e.Kind < len(b.set.KindCores) && b.set.KindCores[e.Kind] > 0 {
+			e.cores = b.set.KindCores[e.Kind]
 		}
-		e.Entry, e.cores = n, 1
-		if n.Kind < len(b.set.KindCores) && b.set.KindCores[n.Kind] > 0 {
-			e.cores = b.set.KindCores[n.Kind]
-		}
-	}
+		e.cold = newWindow(max(b.set.FallWindow, 0.001), 10)
+	})
 	b.flush()
 }
 
@@ -746,8 +711,62 @@
 	}
 }
 
-// Probed is the answer to a probe.
-func (b *Brain) Probed(now float64, engine uint32, end End, lag float64, load *Load) { b.now = now }
+// Probed is the answer to a probe; a load report in it tells what the other routers have there.
+func (b *Brain) Probed(now float64, id uint32, _ End, _ float64, load *Load) {
+	b.now = now
+	if k, ok := b.index[id]; ok && load != nil && load.Held >= 0 {
+		threads, outs := 1.0, 1.0 // others' commands are taken to be like ours
+		for j := range b.engines {
+			threads, outs = threads+b.engines[j].threads, outs+float64(b.engines[j].outs)
+		}
+		e := &b.engines[k]
+		e.rest, e.restAt = max(load.Held-float64(e.outs), 0)*threads/outs, now
+	}
+}
+
+// Peer is another router's word on its load.
+func (b *Brain) Peer(now float64, from int, data []byte) {
+	b.now = now
+	if from >= 0 && from < len(b.heard) && from != b.set.Me {
+		b.heard[from] = now
+		b.unpack(from, data)
+	}
+}
+
+// others is what other routers have on an engine, as far as this one was told, and the share left to this one. A
+// router that fell silent is taken to be gone: where it is only cut off, it can't reach our engines either.
+func (b *Brain) others(e *engine) (threads, share float64) {
+	const fresh = 1.5 // some messages lost in a row
+	alive := 1.0
+	for k, at := range b.heard {
+		if b.now-at < fresh {
+			threads += e.theirs[k]
+			alive++
+		}
+	}
+	if alive > 1 {
+		return threads, 1 / alive
+	}
+	if e.restAt > 0 && b.now-e.restAt < 2*fresh {
+		return e.rest, b.share
+	}
+	return 0, b.share
+}
 
-// Peer is a message of another router.
-func (b *Brain) Peer(now float64, from int, data []byte) { b.now = now }
+// report tells the other routers our load, and asks engines that report theirs.
+func (b *Brain) report() {
+	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
+	if b.set.Peers && len(b.heard) > 1 && b.now >= b.tellAt {
+		b.tellAt = b.now + tellEvery
+		b.message = b.pack(b.message)
+		b.host.Tell(-1, b.message)
+	}
+	if b.set.ProbeLoads && len(b.heard) > 1 && b.now >= b.probeAt {
+		b.probeAt = b.now + probeEvery
+		for k := range b.engines {
+			if b.engines[k].State == Ready {
+				b.host.Probe(b.engines[k].Engine)
+			}
+		}
+	}
+}
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -1,6 +1,10 @@
 package brain
 
-import "sort"
+import (
+	"encoding/binary"
+	"math"
+	"sort"
+)
 
 // send is one send that is out.
 type send struct {
@@ -166,3 +170,92 @@
 	}
 	s.rest = kept
 }
+
+// engine is what this router knows of one engine.
+type engine struct {
+	Entry
+	cores   float64
+	threads float64 // ours that are out there
+	outs    int
+	slow    float64 // slowdown against the usual of each profile, and when it was last learned
+	slowAt  float64
+	fails   float64 // recent share of sends that failed there
+	sign    float64 // last sign of life, and the usual gap between two
+	gap     float64
+	overdue int // sends long past what they should take, and what the shortest of them should
+	short   float64
+	fullTo  float64   // it turned us away: nothing before then
+	ill     bool      // gets one trial send at a time
+	trial   bool      // and that is out
+	trialAt float64   // not before then
+	pause   float64   // between trials
+	cold    window    // usual work sent since its start
+	theirs  []float64 // threads of each other router, as last told by it
+	rest    float64   // threads of all others, as the engine's load report implies, and when
+	restAt  float64
+}
+
+func among(list []int, v int) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return list == nil
+}
+
+// pool is the engines of the list. Places are never reused, so that a send finds its engine.
+type pool struct {
+	engines []engine
+	index   map[uint32]int32
+}
+
+// merge takes a list event in and calls fresh for each engine that is new or has started anew.
+func (p *pool) merge(scope Scope, list []Entry, routers int, fresh func(*engine)) {
+	for k := range p.engines {
+		listed := scope == Delta
+		for _, n := range list {
+			listed = listed || n.Engine == p.engines[k].Engine
+		}
+		if !listed {
+			p.engines[k].State = Gone
+		}
+	}
+	for _, n := range list {
+		k, ok := p.index[n.Engine]
+		if !ok {
+			k = int32(len(p.engines))
+			p.index[n.Engine] = k
+			p.engines = append(p.engines, engine{theirs: make([]float64, routers)})
+		}
+		e := &p.engines[k]
+		again := !ok || n.ReadyAt != e.ReadyAt
+		if e.Entry = n; again {
+			fresh(e)
+		}
+	}
+}
+
+// pack writes this router's threads on each ready engine, for the other routers.
+func (p *pool) pack(buf []byte) []byte {
+	buf = buf[:0]
+	for k := range p.engines {
+		if e := &p.engines[k]; e.State == Ready {
+			buf = binary.BigEndian.AppendUint32(buf, e.Engine)
+			buf = binary.BigEndian.AppendUint16(buf, uint16(min(e.threads, math.MaxUint16)))
+		}
+	}
+	return buf
+}
+
+// unpack takes what another router packed.
+func (p *pool) unpack(from int, data []byte) {
+	for k := range p.engines {
+		p.engines[k].theirs[from] = 0
+	}
+	for ; len(data) >= 6; data = data[6:] {
+		if k, ok := p.index[binary.BigEndian.Uint32(data)]; ok {
+			p.engines[k].theirs[from] = float64(binary.BigEndian.Uint16(data[4:]))
+		}
+	}
+}
--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"dunereach/brain"
 )
@@ -30,7 +31,10 @@
 		MaxRetryAfter                                   float64
 		SendCap                                         int
 	}
-	LoadInfo    struct{ Fields []string }
+	LoadInfo struct {
+		Fields []string
+		Via    string
+	}
 	Obligations struct {
 		AnswerSlack, ColdFrom, DrainGrace, Fall, FallMultiple, WarmUp, KeyRest float64
 		ExtraFree, FurtherRatio, LookBack                                      *float64
@@ -62,6 +66,7 @@
 		FallMultiple: b.Obligations.FallMultiple, FallWindow: b.Obligations.Fall * ms,
 		KeyRest: b.Obligations.KeyRest * ms,
 	}
+	s.ProbeLoads = s.Probes && b.LoadInfo.Via != "off" && slices.Contains(b.LoadInfo.Fields, "active")
 	if o := b.Obligations; o.LookBack != nil && *o.LookBack > 0 {
 		s.Budget, s.BudgetWindow = true, *o.LookBack*ms
 		if o.ExtraFree != nil {
