Restart once a send that is far behind at its told pace

Where cancels are allowed, a replayable command whose pace misses its target and that needs twice a fresh start is cancelled and sent elsewhere, once.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -703,12 +703,28 @@
 	b.flush()
 }
 
-// Note tells of a send that is out.
+// Note tells of a send that is out. One far behind what a fresh start would need, and too late at its pace, is
+// started again elsewhere, once: a bad plan, a slow engine, or spilling. It does harm where the estimate was the fault.
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
-	if k, ok := b.index[n.Engine]; ok {
+	k, ok := b.index[n.Engine]
+	if ok {
 		b.alive(&b.engines[k])
 	}
+	i, ok := b.cmds.at[n.ID]
+	if !ok || n.Kind != Progressed || n.Value <= 0 {
+		return
+	}
+	r := &b.cmds.rec[i]
+	for k := range r.out {
+		s := &r.out[k]
+		left := (now - s.at) * (1 - n.Value) / n.Value
+		const behind = 2.0 // twice a fresh start: the pace is rough, and what is done is lost
+		if s.engine >= 0 && s.number == n.Send && r.sends == 1 && !r.done && b.prof[r.Profile].Effect == Replayable &&
+			left > behind*s.expect && now+left > r.took+b.aim(r) && now+s.expect < r.dueBy {
+			b.cancel(r, s)
+		}
+	}
 }
 
 // Probed is the answer to a probe; a load report in it tells what the other routers have there.
