Admit by best time while an unpressed engine is ready

Symptom: refusals at engines a third full, nothing held, answers at 110 ms. Cause: clients gave tries up early, so time left lay under the profile's p90. Told from overload: own threads per engine fell while refusals rose.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -273,8 +273,13 @@
 	if p.read.n < minSamples {
 		return true
 	}
-	wait := 0.0
-	if !r.short && b.choose(r) < 0 {
+	wait, k := 0.0, b.choose(r)
+	if k >= 0 && !b.pressed(p, &b.engines[k]) {
+		// Exception: with an engine to spare a refusal protects nobody, so p90 does not bind (thin histograms,
+		// clients in a hurry). It ends as soon as the engines are pressed.
+		return r.cost/float64(p.Threads) <= r.TimeLeft
+	}
+	if !r.short && k < 0 {
 		wait = b.waitOf(r.rank)
 		if wait+r.cost/float64(p.Threads) > b.aim(r) {
 			return false // it would only be given up in the line
