Average load reports and probe engines one by one

Symptom: a fifth late with nothing held; one router's engines ranged from 0 to 29 commands. Cause: all routers probed in the same moment and rushed to the engine that looked emptiest for the next second. Told from slow engines: slowness near 1 everywhere, the crowd moved each second. Also covers noisy or late reports; harm: a load that really changed shows two or three seconds late.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,18 +19,19 @@
 	prof    []profile
 	tenants []tenant
 	pool
-	heard   []float64 // when each other router last told its load
-	tellAt  float64
-	message []byte
-	probeAt float64
-	takes   window // commands taken, and sends beyond each one's first
-	further window
-	share   float64 // of every engine, for this router
-	mark    float64 // cost mark of the short lane, per thread
-	swapAt  float64
-	logAt   float64
-	sheds   int
-	watchAt float64 // when to ask for the list again, 0: not needed
+	heard     []float64 // when each other router last told its load
+	tellAt    float64
+	message   []byte
+	probeAt   float64
+	probeNext int
+	takes     window // commands taken, and sends beyond each one's first
+	further   window
+	share     float64 // of every engine, for this router
+	mark      float64 // cost mark of the short lane, per thread
+	swapAt    float64
+	logAt     float64
+	sheds     int
+	watchAt   float64 // when to ask for the list again, 0: not needed
 }
 
 // profile is a row of the table of profiles.
@@ -741,7 +742,10 @@
 			threads, outs = threads+b.engines[j].threads, outs+float64(b.engines[j].outs)
 		}
 		e := &b.engines[k]
-		e.rest, e.restAt = max(load.Held-float64(e.outs), 0)*threads/outs, now
+		// An average: all routers would rush to the engine that one old report shows emptiest.
+		const weight = 0.3
+		e.rest += weight * (max(load.Held-float64(e.outs), 0)*threads/outs - e.rest)
+		e.restAt = now
 	}
 }
 
@@ -782,12 +786,11 @@
 		b.message = b.pack(b.message)
 		b.host.Tell(-1, b.message)
 	}
-	if b.set.ProbeLoads && len(b.heard) > 1 && b.now >= b.probeAt {
-		b.probeAt = b.now + probeEvery
-		for k := range b.engines {
-			if b.engines[k].State == Ready {
-				b.host.Probe(b.engines[k].Engine)
-			}
+	if n := len(b.engines); b.set.ProbeLoads && len(b.heard) > 1 && n > 0 && b.now >= b.probeAt {
+		b.probeAt = b.now + probeEvery/float64(n) // one by one, so that news does not come to all at once
+		b.probeNext = (b.probeNext + 1) % n
+		if e := &b.engines[b.probeNext]; e.State == Ready {
+			b.host.Probe(e.Engine)
 		}
 	}
 }
