--- a/brain/api.go
+++ b/brain/api.go
@@ -2,17 +2,17 @@
 //
 // This file is the interface and holds no decision. A host makes one Brain per router with New, calls its
 // methods as things happen, each with the current time, and carries out what comes back through Host. Nothing
-// here knows a wire. Times are seconds on any clock that only advances; ids are the host's and come back unaltered.
+// here knows a wire. Times are seconds on any clock that only advances; ids come back unaltered.
 package brain
 
 // Host is what the module asks of its surroundings. Calls are carried out in the order made.
 type Host interface {
 	Send(id, engine uint32, limit float64)        // a send that ends by itself after limit
-	Shed(id uint32, pause float64)                // final: a retry is harmless, best after pause (0: no guidance)
+	Shed(id uint32, pause float64)                // final: a retry is harmless, best after pause (0: any time)
 	Fail(id uint32)                               // final: nothing is promised
 	Cancel(id uint32, send int)                   // stop waiting for that send
 	Probe(engine uint32)                          // ask an engine how it is; Probed answers
-	Priority(id uint32, level int, grant float64) // 0 to 3, at once; grant: memory of later sends, 0 engine's choice
+	Priority(id uint32, level int, grant float64) // 0 to 3, at once; memory of later sends, 0: engine's choice
 	Wake(after float64, token uint64)             // Woken with that token, not before
 	Tell(peer int, data []byte)                   // a short message to another router, -1 for all
 	Watch(on bool)                                // follow the list of engines, where it must be asked for
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,8 @@
-// This file holds every decision of dunereach. A host (api.go has the interface) makes one Brain per router and calls
-// Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen; the Brain answers through Host.
-// A command runs down the chain take, admit, hold, order, place; each stage passes it on, keeps it or ends it, and
-// what comes back from an engine runs up the same chain. Bouncer's rule decides the ordinary path (docs/design.md).
+// This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface) and
+// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen; the Brain answers through
+// Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it (in the line of
+// held commands) or ends it, and what comes back from an engine runs up the same chain. Bouncer's rule decides the
+// ordinary path (docs/design.md).
 package brain
 
 import (
@@ -11,27 +12,23 @@
 
 // Brain is the mind of one router.
 type Brain struct {
-	set     Settings
-	host    Host
-	now     float64
-	rnd     pcg
-	cmds    slab
-	prof    []profile
-	tenants []tenant
-	pool
-	heard     []float64 // when each other router last told its load
-	tellAt    float64
-	message   []byte
-	probeAt   float64
-	probeNext int
-	takes     window // commands taken, and sends beyond each one's first
-	further   window
-	share     float64 // of every engine, for this router
-	mark      float64 // cost mark of the short lane, per thread
-	swapAt    float64
-	logAt     float64
-	sheds     int
-	watchAt   float64 // when to ask for the list again, 0: not needed
+	set                                     Settings
+	host                                    Host
+	now                                     float64
+	rnd                                     pcg
+	cmds                                    slab
+	prof                                    []profile
+	tenants                                 []tenant
+	pool                                           // engines, and what other routers have there
+	takes                                   window // commands taken, and sends beyond each one's first
+	further                                 window
+	share                                   float64 // of every engine, for this router
+	mark                                    float64 // cost mark of the short lane, per thread
+	cut                                     float64 // cost per benefit that the line lately gave up
+	sheds                                   int
+	message                                 []byte
+	next                                    int // engine to probe next
+	swapAt, logAt, tellAt, probeAt, watchAt float64
 }
 
 // profile is a row of the table of profiles.
@@ -40,7 +37,7 @@
 	read, fill     histogram // processing times: one is read while the other fills
 	received, let  window
 	hinted, worked float64 // recent sums of estimates and of the true work they stood for
-	work           float64 // usual work of all threads
+	work, seen     float64 // usual work of all threads, and how many answers or estimates stand behind it
 	slow           float64 // usual slowdown: processing time over work per thread
 }
 
@@ -49,13 +46,10 @@
 
 // New makes the mind of one router.
 func New(set Settings, now float64, host Host) *Brain {
-	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(),
-		pool: pool{index: map[uint32]int32{}}, heard: make([]float64, max(set.Routers, 1)), swapAt: now + swapEvery, mark: math.Inf(1)}
-	for k := range b.heard {
-		b.heard[k] = math.Inf(-1)
-	}
+	n := max(set.Routers, 1)
 	// Equal shares: what is known of the others' load, where it is, corrects the guess.
-	b.share = 1 / float64(max(set.Routers, 1))
+	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(), pool: newPool(n),
+		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now + swapEvery, watchAt: math.Inf(1)}
 	// The allowance's window holds some tens of a rare profile's commands.
 	const allowSpan = 10.0
 	// The short lane takes what leaves half the tightest target for crowding, whatever the deployment.
@@ -88,17 +82,15 @@
 	ended
 )
 
-var chain []struct {
+type stage struct {
 	down func(*Brain, int32) verdict
 	up   func(*Brain, int32, *Outcome) verdict
 }
 
-func init() {
-	type s = struct {
-		down func(*Brain, int32) verdict
-		up   func(*Brain, int32, *Outcome) verdict
-	}
-	chain = []s{{(*Brain).take, (*Brain).answer}, {(*Brain).admit, (*Brain).learn}, {(*Brain).hold, (*Brain).again},
+var chain []stage
+
+func init() { // not a literal: the stages call each other through it
+	chain = []stage{{(*Brain).take, (*Brain).answer}, {(*Brain).admit, (*Brain).again},
 		{(*Brain).order, (*Brain).settle}, {(*Brain).place, (*Brain).judge}}
 }
 
@@ -127,7 +119,7 @@
 
 // flush sends on held commands that find a place now.
 func (b *Brain) flush() {
-	const order = 3 // the stage below hold
+	const order = 2 // the stage below admit
 	for k := 0; k < len(b.cmds.held); {
 		i := b.cmds.held[k]
 		b.down(i, order)
@@ -160,11 +152,16 @@
 		r.cost = p.usual()
 	case p.hinted > 0:
 		r.cost *= p.worked / p.hinted
+	default:
+		p.meet(r.Cost) // no answer yet: a cold engine's budget needs some measure
 	}
-	r.short = r.cost/float64(p.Threads) <= b.mark && r.worth == p.Benefit
+	r.best = r.cost / float64(p.Threads)
+	r.aim = r.took + p.Target + p.Stretch*r.best
+	r.short = r.best <= b.mark && r.worth == p.Benefit
 	// Cheapest per benefit first; a second of waiting makes up for 0.05 s of work per unit of benefit (ageing).
 	const ageing = 0.05
-	r.rank = r.cost/max(r.worth, 1e-9) + ageing*r.took
+	r.price = r.cost / max(r.worth, 1e-9)
+	r.rank = r.price + ageing*r.took
 	if p.Ordered && r.Key != 0 {
 		b.cmds.enlist(i)
 	}
@@ -173,14 +170,9 @@
 	return pass
 }
 
-func (b *Brain) aim(r *record) float64 {
-	p := &b.prof[r.Profile]
-	return p.Target + p.Stretch*r.cost/float64(p.Threads)
-}
-
 // answer ends what neither an engine nor a further send has ended.
 func (b *Brain) answer(i int32, o *Outcome) verdict {
-	if r := &b.cmds.rec[i]; !r.done && r.outs == 0 {
+	if r := &b.cmds.rec[i]; !r.done && r.out.engine < 0 {
 		b.finish(i)
 	}
 	b.let(i)
@@ -207,26 +199,23 @@
 
 // over stops paying for work that nobody waits for.
 func (b *Brain) over(i int32) {
-	r := &b.cmds.rec[i]
-	r.done = true
+	b.cmds.rec[i].done = true
 	b.cmds.unhold(i)
-	for k := range r.out {
-		b.cancel(r, &r.out[k])
-	}
+	b.cancel(&b.cmds.rec[i])
 	b.let(i)
 }
 
-func (b *Brain) cancel(r *record, s *send) {
-	if s.engine >= 0 && b.set.Cancels && !s.asked && !r.streaming {
-		s.asked = true
-		b.host.Cancel(r.ID, s.number)
+func (b *Brain) cancel(r *record) {
+	if r.out.engine >= 0 && b.set.Cancels && !r.out.asked && !r.streaming {
+		r.out.asked = true
+		b.host.Cancel(r.ID, r.out.number)
 	}
 }
 
 // let frees the place of a command that has its answer and no send out; its key's line moves on.
 func (b *Brain) let(i int32) {
 	switch r := &b.cmds.rec[i]; {
-	case !r.inUse || !r.done || r.outs > 0:
+	case !r.inUse || !r.done || r.out.engine >= 0:
 	case b.prof[r.Profile].Ordered && r.Key != 0:
 		b.cmds.moveOn(r.Key)
 	default:
@@ -278,15 +267,17 @@
 	if k >= 0 && !b.pressed(p, &b.engines[k]) {
 		// Exception: with an engine to spare a refusal protects nobody, so p90 does not bind (thin histograms,
 		// clients in a hurry). It ends as soon as the engines are pressed.
-		return r.cost/float64(p.Threads) <= r.TimeLeft
+		return r.best <= r.TimeLeft
 	}
+	aim := r.aim - b.now
 	if !r.short && k < 0 {
-		wait = b.waitOf(r.rank)
-		if wait+r.cost/float64(p.Threads) > b.aim(r) {
-			return false // it would only be given up in the line
+		// Exception: what would only be given up in the line is refused now, by its wait or by what the line has
+		// just given up; the estimate does not see the cheaper commands that come later and pass.
+		if wait = b.waitOf(r.rank); wait+r.best > aim || r.price >= math.Inf(1) {
+			return false
 		}
 	}
-	return wait+p.read.quantile(0.5) <= max(b.aim(r), r.TimeLeft/2) && wait+p.read.quantile(0.9) <= r.TimeLeft
+	return wait+p.read.quantile(0.5) <= max(aim, r.TimeLeft/2) && wait+p.read.quantile(0.9) <= r.TimeLeft
 }
 
 // waitOf is the wait for the held work that leaves before a rank, over this router's places.
@@ -307,57 +298,41 @@
 	return work / max(places, 1)
 }
 
-// learn keeps times, true work and bias by profile. A time-out counts at its age: without it the histogram would
-// hold only the lucky. Ill and cold engines are left out: one of them must not refuse a profile everywhere.
-func (b *Brain) learn(i int32, o *Outcome) verdict {
-	r := &b.cmds.rec[i]
-	p := &b.prof[r.Profile]
-	if k, ok := b.index[o.Engine]; ok && (o.End == Answered || o.End == TimedOut) {
-		if e := &b.engines[k]; !e.ill && !b.isCold(e) {
-			p.fill.add(o.Lag)
-		}
-	}
-	if o.End == Answered {
-		work := r.cost
-		if o.Work > 0 {
-			work = o.Work
-			if r.Cost > 0 { // sums that fade over some hundred answers: the bias is the profile's own and steady
-				p.hinted, p.worked = p.hinted*0.99+r.Cost, p.worked*0.99+work
-			}
-		}
-		if p.work == 0 {
-			p.work = work
-		}
-		p.work += 0.01 * (work - p.work)
-		p.slow += 0.05 * (slowdown(o, p, work) - p.slow)
+// learn keeps a profile's times, true work and bias.
+func (p *profile) learn(r *record, o *Outcome, work float64) {
+	if o.Work > 0 && r.Cost > 0 { // sums that fade over some hundred answers: the bias is the profile's and steady
+		p.hinted, p.worked = p.hinted*0.99+r.Cost, p.worked*0.99+work
 	}
-	return pass
+	p.meet(work)
+	p.slow += 0.05 * (slowdown(o, p, work) - p.slow)
+}
+
+// meet averages the work, over some hundred at the most.
+func (p *profile) meet(work float64) {
+	p.seen = min(p.seen+1, 100)
+	p.work += (work - p.work) / p.seen
 }
 
-func (p *profile) usual() float64 { return max(p.work, 0.001) }
+// usual work; before anything is known, what would leave half the target for crowding.
+func (p *profile) usual() float64 {
+	if p.seen == 0 {
+		return p.Target / 2 * float64(p.Threads)
+	}
+	return p.work
+}
 
 // slowdown of an answer over its best; capped, since one odd answer should not outweigh twenty.
 func slowdown(o *Outcome, p *profile, work float64) float64 {
 	return min(o.Lag*float64(p.Threads)/max(work, 0.001), 20)
 }
 
-// ---- hold: what finds no place waits, cheapest per benefit first
-
-func (b *Brain) hold(i int32) verdict {
-	if r := &b.cmds.rec[i]; r.short || len(b.cmds.held) == 0 || b.choose(r) >= 0 {
-		return pass
-	}
-	b.cmds.hold(i)
-	return keep
-}
-
 // again holds a command for a further send, where rules and time allow one.
 func (b *Brain) again(i int32, o *Outcome) verdict {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
-	if r.done || r.outs > 0 || b.now+r.cost/float64(p.Threads) > r.dueBy ||
-		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends || r.mayRun && p.Effect == NonReplayable ||
-		r.mayRun && p.Effect == Uniqued && b.now >= r.ranAt+p.Window {
+	if r.done || r.out.engine >= 0 || b.now+r.best > r.dueBy ||
+		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends ||
+		r.mayRun && (p.Effect == NonReplayable || p.Effect == Uniqued && b.now >= r.ranAt+p.Window) {
 		return pass
 	}
 	b.cmds.hold(i)
@@ -401,7 +376,7 @@
 func (b *Brain) choose(r *record) int32 {
 	p := &b.prof[r.Profile]
 	// Rule 7; and one send at a time, whether or not copies are barred.
-	if r.outs > 0 || r.sends > 0 && b.set.BudgetWindow > 0 &&
+	if r.out.engine >= 0 || r.sends > 0 && b.set.BudgetWindow > 0 &&
 		b.further.most(b.now)+1 > b.set.BudgetFree+b.set.BudgetShare*b.takes.least(b.now) {
 		return -1
 	}
@@ -413,8 +388,7 @@
 		if !b.allowed(r, p, e) || !b.fits(r, p, e) {
 			continue
 		}
-		theirs, _ := b.others(e)
-		s := (e.threads + theirs + float64(p.Threads)) / e.cores * b.slowOf(e)
+		s := (e.threads + e.others + float64(p.Threads)) / e.cores * b.slowOf(e)
 		if e.Zone != b.set.Zone {
 			s *= 1.1 // elsewhere must be this much emptier: crossing has a small price and delay
 		}
@@ -437,8 +411,8 @@
 		p.Group == GroupZone && e.Zone != r.ranZone || p.Group == GroupCell && e.Cell != r.ranCell)) {
 		return false
 	}
-	// This router's share of what a cold engine takes in one window. The ramp is not told, so the start's capacity
-	// holds throughout; the margin covers a slow engine, routers not yet told, and a burst right after the start.
+	// This router's share of what a cold engine takes in one window. The ramp is not told, so the start's
+	// capacity holds throughout; the margin covers a slow engine, routers not yet told, and a burst at the start.
 	const margin = 0.5
 	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <=
 		b.set.FallMultiple*b.set.ColdFrom*e.cores*b.set.FallWindow*margin/float64(b.set.Routers)
@@ -467,18 +441,16 @@
 // places of this router on an engine. One place a core would leave cores idle while threads read from disk.
 func (b *Brain) places(e *engine) float64 {
 	const perCore = 1.7
-	theirs, share := b.others(e)
-	if theirs == 0 {
-		return e.cores * perCore * share
+	if e.others == 0 {
+		return e.cores * perCore * b.share
 	}
-	return max(e.cores*perCore-theirs, e.cores*perCore*share)
+	return max(e.cores*perCore-e.others, e.cores*perCore*b.share)
 }
 
-// pressed: answers of the profile come well above best there, or our own threads alone fill the cores.
+// pressed: answers of the profile come well above best there, or the threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
 	const wellAbove = 1.8
-	theirs, _ := b.others(e)
-	return p.slow*b.slowOf(e) > wellAbove || e.threads+theirs >= 1.5*e.cores
+	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= 1.5*e.cores
 }
 
 // slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual, since
@@ -491,7 +463,7 @@
 func (b *Brain) send(i, k int32) {
 	r, e := &b.cmds.rec[i], &b.engines[k]
 	p := &b.prof[r.Profile]
-	r.out[0] = send{engine: k, number: r.sends, at: b.now, expect: r.cost / float64(p.Threads) * max(1, p.slow)}
+	r.out = send{engine: k, number: r.sends, at: b.now, expect: r.best * max(1, p.slow)}
 	if r.sends > 0 {
 		b.further.add(b.now, 1)
 	}
@@ -499,7 +471,6 @@
 		e.sign = b.now
 	}
 	r.sends++
-	r.outs++
 	e.outs++
 	e.threads += float64(p.Threads)
 	e.trial = e.ill
@@ -509,7 +480,7 @@
 	level := 1
 	if r.short {
 		level = 3
-	} else if r.worth < p.Benefit || b.now > r.took+b.aim(r) {
+	} else if r.worth < p.Benefit || b.now > r.aim {
 		level = 0
 	}
 	if b.set.Priorities && level != r.level {
@@ -520,7 +491,7 @@
 	// still answer in time. Set on every send it cost 5% of them: estimates are too rough to tell late from lost.
 	limit := r.dueBy - b.now
 	if quiet := e.ill || b.now-e.sign > 4*e.gap+0.1; quiet && !b.set.Cancels && r.short && p.Effect == Replayable {
-		limit = min(limit, 0.6*b.aim(r))
+		limit = min(limit, 0.6*(r.aim-r.took))
 	}
 	b.host.Send(r.ID, e.Engine, limit)
 }
@@ -533,10 +504,11 @@
 		r.done = true
 		b.cmds.unhold(i)
 	}
-	s, ok := r.settle(o.Send)
-	if !ok {
+	s := r.out
+	if s.engine < 0 || s.number != o.Send {
 		return pass
 	}
+	r.out.engine = -1
 	e := &b.engines[s.engine]
 	e.outs--
 	e.threads -= float64(p.Threads)
@@ -547,6 +519,11 @@
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
+	// A time-out counts at its age: without it the histogram would hold only the lucky. Ill and cold engines are
+	// left out: one of them must not refuse a profile everywhere.
+	if (o.End == Answered || o.End == TimedOut) && !e.ill && !b.isCold(e) {
+		p.fill.add(o.Lag)
+	}
 	const weight = 0.15 // of one outcome: some seven in a row tell
 	switch o.End {
 	case Answered:
@@ -556,6 +533,7 @@
 		if work == 0 {
 			work = r.cost
 		}
+		p.learn(r, o, work)
 		// Longer work tells more of the engine; tiny commands are mostly delay.
 		was := b.slowOf(e)
 		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slowdown(o, p, work)/max(p.slow, 0.1)-was), b.now
@@ -625,8 +603,8 @@
 	if now >= b.swapAt {
 		b.swap()
 	}
-	if b.watchAt > 0 && now >= b.watchAt {
-		b.watchAt = 0
+	if now >= b.watchAt {
+		b.watchAt = math.Inf(1)
 		b.host.Watch(true)
 	}
 	b.cmds.sweep(now)
@@ -634,14 +612,15 @@
 	b.report()
 	for k := 0; k < len(b.cmds.held); {
 		i := b.cmds.held[k]
-		r := &b.cmds.rec[i]
 		// A held command that can no longer be in time is given up, and told so now.
-		if best := r.cost / float64(b.prof[r.Profile].Threads); now+best > min(r.took+b.aim(r), r.dueBy) {
+		if r := &b.cmds.rec[i]; now+r.best > min(r.aim, r.dueBy) {
+			b.cut = min(b.cut, r.price)
 			b.finish(i)
 			continue
 		}
 		k++
 	}
+	b.cut *= 1.02 // doubles in two seconds, so that the line is tried again soon
 	b.flush()
 }
 
@@ -674,12 +653,9 @@
 	}
 	for i := range b.cmds.rec {
 		r := &b.cmds.rec[i]
-		for k := range r.out {
-			s := &r.out[k]
-			if r.inUse && s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
-				e := &b.engines[s.engine]
-				e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
-			}
+		if s := &r.out; r.inUse && s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
+			e := &b.engines[s.engine]
+			e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
 		}
 	}
 	for k := range b.engines {
@@ -698,7 +674,7 @@
 		b.watchAt = now + 1 + b.rnd.float() // spread, since all routers ask one service
 		return
 	}
-	b.merge(scope, list, len(b.heard), func(e *engine) {
+	b.merge(scope, list, func(e *engine) {
 		// A new start: what was learned of the old process says nothing.
 		e.slow, e.slowAt, e.fails, e.ill, e.trial, e.gap, e.fullTo = 1, now, 0, false, false, 0, 0
 		if e.cores = 1; e.Kind < len(b.set.KindCores) && b.set.KindCores[e.Kind] > 0 {
@@ -713,23 +689,19 @@
 // started again elsewhere, once: a bad plan, a slow engine, or spilling. It does harm where the estimate was the fault.
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
-	k, ok := b.index[n.Engine]
-	if ok {
+	if k, ok := b.index[n.Engine]; ok {
 		b.alive(&b.engines[k])
 	}
 	i, ok := b.cmds.at[n.ID]
-	if !ok || n.Kind != Progressed || n.Value <= 0 {
+	if !ok || n.Kind != Progressed || n.Value <= 0 || b.cmds.rec[i].sends != 1 {
 		return
 	}
+	const behind = 2.0 // twice a fresh start: the pace is rough, and what is done is lost
 	r := &b.cmds.rec[i]
-	for k := range r.out {
-		s := &r.out[k]
-		left := (now - s.at) * (1 - n.Value) / n.Value
-		const behind = 2.0 // twice a fresh start: the pace is rough, and what is done is lost
-		if s.engine >= 0 && s.number == n.Send && r.sends == 1 && !r.done && b.prof[r.Profile].Effect == Replayable &&
-			left > behind*s.expect && now+left > r.took+b.aim(r) && now+s.expect < r.dueBy {
-			b.cancel(r, s)
-		}
+	left := (now - r.out.at) * (1 - n.Value) / n.Value
+	if !r.done && b.prof[r.Profile].Effect == Replayable && left > behind*r.out.expect && now+left > r.aim &&
+		now+r.out.expect < r.dueBy {
+		b.cancel(r)
 	}
 }
 
@@ -737,14 +709,11 @@
 func (b *Brain) Probed(now float64, id uint32, _ End, _ float64, load *Load) {
 	b.now = now
 	if k, ok := b.index[id]; ok && load != nil && load.Held >= 0 {
-		threads, outs := 1.0, 1.0 // others' commands are taken to be like ours
-		for j := range b.engines {
-			threads, outs = threads+b.engines[j].threads, outs+float64(b.engines[j].outs)
-		}
+		threads, outs := b.sums() // others' commands are taken to be like ours
 		e := &b.engines[k]
 		// An average: all routers would rush to the engine that one old report shows emptiest.
 		const weight = 0.3
-		e.rest += weight * (max(load.Held-float64(e.outs), 0)*threads/outs - e.rest)
+		e.rest += weight * (max(load.Held-float64(e.outs), 0)*(threads+1)/(outs+1) - e.rest)
 		e.restAt = now
 	}
 }
@@ -758,38 +727,25 @@
 	}
 }
 
-// others is what other routers have on an engine, as far as this one was told, and the share left to this one. A
-// router that fell silent is taken to be gone: where it is only cut off, it can't reach our engines either.
-func (b *Brain) others(e *engine) (threads, share float64) {
-	const fresh = 1.5 // some messages lost in a row
-	alive := 1.0
-	for k, at := range b.heard {
-		if b.now-at < fresh {
-			threads += e.theirs[k]
-			alive++
-		}
-	}
-	if alive > 1 {
-		return threads, 1 / alive
-	}
-	if e.restAt > 0 && b.now-e.restAt < 2*fresh {
-		return e.rest, b.share
-	}
-	return 0, b.share
-}
-
-// report tells the other routers our load, and asks engines that report theirs.
+// report tells the other routers our load, asks engines that report theirs, and sums up what is known of the others.
+// A router that fell silent is taken to be gone: where it is only cut off, it can't reach our engines either.
 func (b *Brain) report() {
 	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
+	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
 	if b.set.Peers && len(b.heard) > 1 && b.now >= b.tellAt {
 		b.tellAt = b.now + tellEvery
 		b.message = b.pack(b.message)
 		b.host.Tell(-1, b.message)
 	}
+	if alive := b.sumUp(b.now, fresh, 2*probeEvery); alive > 0 {
+		b.share = 1 / float64(alive+1)
+	} else {
+		b.share = 1 / float64(len(b.heard))
+	}
 	if n := len(b.engines); b.set.ProbeLoads && len(b.heard) > 1 && n > 0 && b.now >= b.probeAt {
 		b.probeAt = b.now + probeEvery/float64(n) // one by one, so that news does not come to all at once
-		b.probeNext = (b.probeNext + 1) % n
-		if e := &b.engines[b.probeNext]; e.State == Ready {
+		b.next = (b.next + 1) % n
+		if e := &b.engines[b.next]; e.State == Ready {
 			b.host.Probe(e.Engine)
 		}
 	}
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -12,7 +12,6 @@
 	number int     // counting the command's sends from 0
 	at     float64 // when it left
 	expect float64 // how long it should take
-	done   float64 // share done, as last told
 	asked  bool    // its cancel has been asked for
 }
 
@@ -21,11 +20,12 @@
 	Command
 	took, dueBy float64 // when taken, and when the client gives it up
 	cost        float64 // expected work of all threads, the profile's bias taken out
-	rank        float64 // place in the line of held commands, least first
+	best, aim   float64 // time on a free engine, and until when an answer earns its whole benefit
+	price, rank float64 // cost per benefit, and place in the line of held commands, least first
 	worth       float64 // benefit, less where its tenant is over its quota
 	level       int     // priority as last set
-	out         [2]send
-	outs, sends int
+	out         send
+	sends       int
 	avoid       int32   // engine that last failed it, -1: none
 	mayRun      bool    // an ended send may have run
 	ranAt       float64 // when the first of those left, and where to
@@ -39,27 +39,12 @@
 	next        int32 // next of the same order key, -1: none
 }
 
-// settle takes the send of that number off the record; ok is false where none is out.
-func (r *record) settle(number int) (s send, ok bool) {
-	for k := range r.out {
-		if r.out[k].engine >= 0 && r.out[k].number == number {
-			s, r.out[k].engine = r.out[k], -1
-			r.outs--
-			return s, true
-		}
-	}
-	return s, false
-}
-
 // firstRisk is when the earliest send left that may have run or may run yet.
 func (r *record) firstRisk() (at float64, risk bool) {
-	at, risk = r.ranAt, r.mayRun
-	for k := range r.out {
-		if r.out[k].engine >= 0 && (!risk || r.out[k].at < at) {
-			at, risk = r.out[k].at, true
-		}
+	if r.mayRun {
+		return r.ranAt, true
 	}
-	return at, risk
+	return r.out.at, r.out.engine >= 0
 }
 
 // line is the commands of one order key, in the order taken.
@@ -88,7 +73,7 @@
 		i = int32(len(s.rec))
 		s.rec = append(s.rec, record{})
 	}
-	s.rec[i] = record{Command: c, avoid: -1, next: -1, inUse: true, out: [2]send{{engine: -1}, {engine: -1}}}
+	s.rec[i] = record{Command: c, avoid: -1, next: -1, inUse: true, out: send{engine: -1}}
 	s.at[c.ID] = i
 	return i
 }
@@ -147,7 +132,7 @@
 // moveOn releases what is over at the front of a key's line; those behind may be over already.
 func (s *slab) moveOn(key uint64) {
 	l := s.keys[key]
-	for l.head >= 0 && s.rec[l.head].done && s.rec[l.head].outs == 0 {
+	for l.head >= 0 && s.rec[l.head].done && s.rec[l.head].out.engine < 0 {
 		h := l.head
 		l.head = s.rec[h].next
 		s.release(h)
@@ -193,6 +178,7 @@
 	theirs  []float64 // threads of each other router, as last told by it
 	rest    float64   // threads of all others, as the engine's load report implies, and when
 	restAt  float64
+	others  float64 // threads of all others, as far as that is known
 }
 
 func among(list []int, v int) bool {
@@ -208,10 +194,48 @@
 type pool struct {
 	engines []engine
 	index   map[uint32]int32
+	heard   []float64 // when each router last told its load
+}
+
+func newPool(routers int) pool {
+	p := pool{index: map[uint32]int32{}, heard: make([]float64, routers)}
+	for k := range p.heard {
+		p.heard[k] = math.Inf(-1)
+	}
+	return p
+}
+
+// sums of this router's threads and commands over all engines.
+func (p *pool) sums() (threads, outs float64) {
+	for k := range p.engines {
+		threads, outs = threads+p.engines[k].threads, outs+float64(p.engines[k].outs)
+	}
+	return threads, outs
+}
+
+// sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the former.
+func (p *pool) sumUp(now, heardFor, reportedFor float64) (alive int) {
+	for _, at := range p.heard {
+		if now-at < heardFor {
+			alive++
+		}
+	}
+	for k := range p.engines {
+		e := &p.engines[k]
+		if e.others = 0; alive == 0 && now-e.restAt < reportedFor {
+			e.others = e.rest
+		}
+		for r, at := range p.heard {
+			if now-at < heardFor {
+				e.others += e.theirs[r]
+			}
+		}
+	}
+	return alive
 }
 
 // merge takes a list event in and calls fresh for each engine that is new or has started anew.
-func (p *pool) merge(scope Scope, list []Entry, routers int, fresh func(*engine)) {
+func (p *pool) merge(scope Scope, list []Entry, fresh func(*engine)) {
 	for k := range p.engines {
 		listed := scope == Delta
 		for _, n := range list {
@@ -226,7 +250,7 @@
 		if !ok {
 			k = int32(len(p.engines))
 			p.index[n.Engine] = k
-			p.engines = append(p.engines, engine{theirs: make([]float64, routers)})
+			p.engines = append(p.engines, engine{theirs: make([]float64, len(p.heard)), restAt: math.Inf(-1)})
 		}
 		e := &p.engines[k]
 		again := !ok || n.ReadyAt != e.ReadyAt
