Refuse on arrival what the line has just given up

The cheapest price that the line gave up is kept, doubling every two seconds, and a command at or over it that finds no place is refused at once.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,8 @@
-// This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface) and
-// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen; the Brain answers through
-// Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it (in the line of
-// held commands) or ends it, and what comes back from an engine runs up the same chain. Bouncer's rule decides the
-// ordinary path (docs/design.md).
+// This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface)
+// and calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen; the Brain answers
+// through Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it
+// (in the line of held commands) or ends it, and what comes back from an engine runs up the same chain.
+// Bouncer's rule decides the ordinary path (docs/design.md).
 package brain
 
 import (
@@ -273,7 +273,7 @@
 	if !r.short && k < 0 {
 		// Exception: what would only be given up in the line is refused now, by its wait or by what the line has
 		// just given up; the estimate does not see the cheaper commands that come later and pass.
-		if wait = b.waitOf(r.rank); wait+r.best > aim || r.price >= math.Inf(1) {
+		if wait = b.waitOf(r.rank); wait+r.best > aim || r.price >= b.cut {
 			return false
 		}
 	}
@@ -300,7 +300,7 @@
 
 // learn keeps a profile's times, true work and bias.
 func (p *profile) learn(r *record, o *Outcome, work float64) {
-	if o.Work > 0 && r.Cost > 0 { // sums that fade over some hundred answers: the bias is the profile's and steady
+	if o.Work > 0 && r.Cost > 0 { // sums fade over some hundred answers: the bias is the profile's and steady
 		p.hinted, p.worked = p.hinted*0.99+r.Cost, p.worked*0.99+work
 	}
 	p.meet(work)
@@ -412,7 +412,8 @@
 		return false
 	}
 	// This router's share of what a cold engine takes in one window. The ramp is not told, so the start's
-	// capacity holds throughout; the margin covers a slow engine, routers not yet told, and a burst at the start.
+	// capacity holds throughout; the margin covers a slow engine, routers not yet told, and a burst at the
+	// start.
 	const margin = 0.5
 	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <=
 		b.set.FallMultiple*b.set.ColdFrom*e.cores*b.set.FallWindow*margin/float64(b.set.Routers)
@@ -453,8 +454,8 @@
 	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= 1.5*e.cores
 }
 
-// slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual, since
-// priorities make profiles differ. Without news it fades, so that a shunned engine gets another chance.
+// slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual,
+// since priorities make profiles differ. Without news it fades, so that a shunned engine gets another chance.
 func (b *Brain) slowOf(e *engine) float64 {
 	const fade = 4.0 // seconds: a few reports long
 	return 1 + (e.slow-1)*math.Exp(-(b.now-e.slowAt)/fade)
@@ -487,10 +488,12 @@
 		r.level = level
 		b.host.Priority(r.ID, level, 0)
 	}
-	// Where a send can't be cancelled, a short command gives up on an engine without recent signs while another can
-	// still answer in time. Set on every send it cost 5% of them: estimates are too rough to tell late from lost.
+	// Where a send can't be cancelled, a short command gives up on an engine without recent signs while another
+	// can still answer in time. Set on every send it cost 5% of them: estimates are too rough to tell late from
+	// lost.
 	limit := r.dueBy - b.now
-	if quiet := e.ill || b.now-e.sign > 4*e.gap+0.1; quiet && !b.set.Cancels && r.short && p.Effect == Replayable {
+	quiet := e.ill || b.now-e.sign > 4*e.gap+0.1
+	if quiet && !b.set.Cancels && r.short && p.Effect == Replayable {
 		limit = min(limit, 0.6*(r.aim-r.took))
 	}
 	b.host.Send(r.ID, e.Engine, limit)
@@ -627,8 +630,9 @@
 // swapEvery is the design page's 2 s.
 const swapEvery = 2.0
 
-// swap turns the buffers over. A part of the old is carried on, more where it is thin: with some twenty samples one
-// odd command moves the 90th percentile past the time left, and the whole profile would be refused for seconds.
+// swap turns the buffers over. A part of the old is carried on, more where it is thin: with some twenty
+// samples one odd command moves the 90th percentile past the time left, and the whole profile would be
+// refused for seconds.
 func (b *Brain) swap() {
 	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
 	b.swapAt += swapEvery
@@ -645,8 +649,8 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: sends far past what they should take, and no sign for
-// much longer than usual. A crowded engine still answers now and then.
+// silence finds engines that take work and answer nothing: sends far past what they should take, and no sign
+// for much longer than usual. A crowded engine still answers now and then.
 func (b *Brain) silence() {
 	for k := range b.engines {
 		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
@@ -685,8 +689,9 @@
 	b.flush()
 }
 
-// Note tells of a send that is out. One far behind what a fresh start would need, and too late at its pace, is
-// started again elsewhere, once: a bad plan, a slow engine, or spilling. It does harm where the estimate was the fault.
+// Note tells of a send that is out. One far behind what a fresh start would need, and too late at its pace,
+// is started again elsewhere, once: a bad plan, a slow engine, or spilling. It does harm where the estimate
+// was the fault.
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
 	if k, ok := b.index[n.Engine]; ok {
@@ -727,8 +732,9 @@
 	}
 }
 
-// report tells the other routers our load, asks engines that report theirs, and sums up what is known of the others.
-// A router that fell silent is taken to be gone: where it is only cut off, it can't reach our engines either.
+// report tells the other routers our load, asks engines that report theirs, and sums up what is known of the
+// others. A router that fell silent is taken to be gone: where it is only cut off, it can't reach our engines
+// either.
 func (b *Brain) report() {
 	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
 	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -213,7 +213,8 @@
 	return threads, outs
 }
 
-// sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the former.
+// sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the
+// former.
 func (p *pool) sumUp(now, heardFor, reportedFor float64) (alive int) {
 	for _, at := range p.heard {
 		if now-at < heardFor {
--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -112,7 +112,8 @@
 		}
 		list = append(list, brain.Entry{
 			Kind: int(be.Uint16(rows)), Weight: f32(rows[2:]), ReadyAt: f64(rows[6:]) * ms,
-			Cell: int(be.Uint16(rows[14:])), State: state, Zone: int(be.Uint16(rows[17:])), Engine: be.Uint32(rows[19:]),
+			Cell: int(be.Uint16(rows[14:])), State: state,
+			Zone: int(be.Uint16(rows[17:])), Engine: be.Uint32(rows[19:]),
 		})
 	}
 	s.pages[page], s.set[page] = list, true
--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -46,7 +46,9 @@
 	"safe": brain.Replayable, "keyed": brain.Uniqued, "unsafe": brain.NonReplayable,
 }
 
-var groups = map[string]brain.Group{"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell}
+var groups = map[string]brain.Group{
+	"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell,
+}
 
 // settings turns the wire's settings into the module's, and gives the order of load report values.
 func settings(text []byte, seed uint64) (s brain.Settings, fields []string, err error) {
