--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,6 +27,7 @@
 	cut                                     float64 // cost per benefit that the line lately gave up
 	sheds                                   int
 	message                                 []byte
+	outcome                                 Outcome
 	next                                    int // engine to probe next
 	swapAt, logAt, tellAt, probeAt, watchAt float64
 }
@@ -110,9 +111,9 @@
 
 // Outcome is the end of a send.
 func (b *Brain) Outcome(now float64, o Outcome) {
-	b.now = now
+	b.now, b.outcome = now, o // kept here, since a pointer into the chain would put it on the heap
 	i, ok := b.cmds.at[o.ID]
-	for s := len(chain) - 1; ok && s >= 0 && chain[s].up(b, i, &o) == pass; s-- {
+	for s := len(chain) - 1; ok && s >= 0 && chain[s].up(b, i, &b.outcome) == pass; s-- {
 	}
 	b.flush()
 }
@@ -427,7 +428,8 @@
 	case b.now < e.fullTo:
 		return false
 	case e.ill:
-		return r.short && !e.trial && b.now >= e.trialAt && p.Effect == Replayable
+		// A trial is a short replayable command; where none comes for a second, any.
+		return !e.trial && b.now >= e.trialAt && (r.short && p.Effect == Replayable || b.now >= e.trialAt+1)
 	case !b.pressed(p, e) || e.threads == 0:
 		return true
 	case r.short:
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,72 @@
+package brain
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read the difference before you keep it")
+
+// TestTraces plays every script of testdata and compares what the module does with what is kept there. Equal
+// events must give equal actions, so each is played twice.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			kept, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := play(t, string(kept))
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			} else if diff := cmp.Diff(string(kept), got); diff != "" {
+				t.Errorf("the module acts otherwise (-kept +now):\n%s", diff)
+			}
+			if diff := cmp.Diff(got, play(t, string(kept))); diff != "" {
+				t.Errorf("equal events, other actions:\n%s", diff)
+			}
+		})
+	}
+}
+
+type deafHost struct{ engine uint32 }
+
+func (h *deafHost) Send(_, engine uint32, _ float64) { h.engine = engine }
+func (h *deafHost) Shed(uint32, float64)             {}
+func (h *deafHost) Fail(uint32)                      {}
+func (h *deafHost) Cancel(uint32, int)               {}
+func (h *deafHost) Probe(uint32)                     {}
+func (h *deafHost) Priority(uint32, int, float64)    {}
+func (h *deafHost) Wake(float64, uint64)             {}
+func (h *deafHost) Tell(int, []byte)                 {}
+func (h *deafHost) Watch(bool)                       {}
+func (h *deafHost) Log(string)                       {}
+
+// TestOrdinaryPathAllocatesNothing plays commands that are taken, admitted, sent and answered.
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	h := &deafHost{}
+	b := New(defaults(), 0, h)
+	b.Members(0, Full, []Entry{{Engine: 1, State: Ready}, {Engine: 2, State: Ready}})
+	now, id := 0.0, uint32(0)
+	one := func() {
+		now, id = now+0.01, id+1
+		b.Command(now, Command{ID: id, TimeLeft: 4, Cost: 0.1})
+		b.Outcome(now+0.005, Outcome{ID: id, Engine: h.engine, End: Answered, Lag: 0.1, Work: 0.1, Over: true})
+	}
+	for range 100 {
+		one()
+	}
+	if n := testing.AllocsPerRun(1000, one); n != 0 {
+		t.Errorf("%v allocations for a command", n)
+	}
+}
--- /dev/null
+++ b/brain/helper_test.go
@@ -0,0 +1,189 @@
+package brain
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"sort"
+	"strings"
+	"testing"
+)
+
+// stage plays a script against one Brain and prints what it does. A script's lines are settings (JSON over the
+// defaults below) and events, each with its time; what the module does stands indented below the event or, where a
+// wake of its own brought it about, below "at". Wakes are played by the stage.
+type theatre struct {
+	t     *testing.T
+	b     *Brain
+	now   float64
+	wakes []wake
+	out   strings.Builder
+	quiet bool
+	last  map[uint32]Outcome // the latest send of each command
+	sends map[uint32]int
+	sent  map[uint32]float64
+	load  Load
+}
+
+type wake struct {
+	at    float64
+	token uint64
+}
+
+func (s *theatre) say(format string, a ...any) {
+	if !s.quiet {
+		fmt.Fprintf(&s.out, "    "+format+"\n", a...)
+	}
+}
+
+func (s *theatre) Send(id, engine uint32, limit float64) {
+	s.last[id] = Outcome{ID: id, Engine: engine, Send: s.sends[id]}
+	s.sends[id]++
+	s.sent[id] = s.now
+	s.say("send %d to %d for %.3f", id, engine, limit)
+}
+func (s *theatre) Shed(id uint32, pause float64)        { s.say("shed %d, back in %.2f", id, pause) }
+func (s *theatre) Fail(id uint32)                       { s.say("fail %d", id) }
+func (s *theatre) Cancel(id uint32, send int)           { s.say("cancel %d/%d", id, send) }
+func (s *theatre) Probe(engine uint32)                  { s.say("probe %d", engine) }
+func (s *theatre) Priority(id uint32, l int, _ float64) { s.say("priority %d of %d", l, id) }
+func (s *theatre) Wake(after float64, token uint64) {
+	s.wakes = append(s.wakes, wake{s.now + after, token})
+}
+func (s *theatre) Tell(peer int, data []byte) { s.say("tell %d: %x", peer, data) }
+func (s *theatre) Watch(on bool)              { s.say("watch %v", on) }
+func (s *theatre) Log(text string)            { s.say("log %s", text) }
+
+// upTo plays the module's own wakes until a time.
+func (s *theatre) upTo(t float64) {
+	for len(s.wakes) > 0 {
+		sort.SliceStable(s.wakes, func(i, j int) bool { return s.wakes[i].at < s.wakes[j].at })
+		w := s.wakes[0]
+		if w.at > t {
+			break
+		}
+		s.wakes = s.wakes[1:]
+		s.now = w.at
+		before := s.out.Len()
+		s.b.Woken(s.now, w.token)
+		if text := s.out.String(); len(text) > before {
+			s.out.Reset()
+			fmt.Fprintf(&s.out, "%sat %.3f\n%s", text[:before], s.now, text[before:])
+		}
+	}
+	s.now = t
+}
+
+func defaults() Settings {
+	return Settings{Seed: 1, Routers: 1, Tick: 0.005, KindCores: []float64{8}, MaxSends: 6, AnswerSlack: 0.02,
+		DrainGrace: 0.25, ColdFrom: 0.35, WarmUp: 15, FallMultiple: 2, FallWindow: 1, Profiles: []Profile{
+			{Target: 0.8, Stretch: 2, Timeout: 4, Benefit: 1, Threads: 1},
+			{Target: 2, Stretch: 2.5, Timeout: 15, Benefit: 10, Threads: 2}}}
+}
+
+var ends = map[string]End{"answered": Answered, "errored": Errored, "turned-away": TurnedAway, "timed-out": TimedOut,
+	"unreachable": Unreachable, "cut": Cut, "cancelled": Cancelled, "moot": Moot}
+
+// play runs a script, less its indented lines, and gives it back with what the module did.
+func play(t *testing.T, script string) string {
+	s := &theatre{t: t, last: map[uint32]Outcome{}, sends: map[uint32]int{}, sent: map[uint32]float64{}}
+	set := defaults()
+	for _, line := range strings.Split(strings.TrimRight(script, "\n"), "\n") {
+		if strings.HasPrefix(line, " ") || strings.HasPrefix(line, "at ") {
+			continue
+		}
+		if json, ok := strings.CutPrefix(line, "settings "); ok {
+			s.must(unmarshal(json, &set), line)
+		} else if line != "" && !strings.HasPrefix(line, "#") {
+			var at float64
+			var what string
+			_, err := fmt.Sscan(line, &at, &what)
+			s.must(err, line)
+			if s.b == nil {
+				s.now = at
+				s.b = New(set, at, s)
+			}
+			s.upTo(at)
+			fmt.Fprintln(&s.out, line)
+			s.event(what, strings.Fields(line)[2:], line)
+			continue
+		}
+		fmt.Fprintln(&s.out, line)
+	}
+	return s.out.String()
+}
+
+func unmarshal(text string, v any) error { return json.Unmarshal([]byte(text), v) }
+
+func (s *theatre) must(err error, line string) {
+	if err != nil {
+		s.t.Fatalf("script line %q: %v", line, err)
+	}
+}
+
+// event plays one line: its words are the fields in the order below, with name=value for rarer ones.
+func (s *theatre) event(what string, words []string, line string) {
+	num := func(k int) float64 {
+		v := 0.0
+		if k < len(words) {
+			_, err := fmt.Sscan(words[k], &v)
+			s.must(err, line)
+		}
+		return v
+	}
+	switch what {
+	case "list", "delta": // entries as JSON
+		scope, list := Full, []Entry{}
+		if what == "delta" {
+			scope = Delta
+		}
+		s.must(unmarshal(strings.SplitN(line, what+" ", 2)[1], &list), line)
+		s.b.Members(s.now, scope, list)
+	case "no-list":
+		s.b.Members(s.now, FailedAsk, nil)
+	case "command": // id profile time-left cost [key]
+		s.b.Command(s.now, Command{ID: uint32(num(0)), Profile: int(num(1)), TimeLeft: num(2), Cost: num(3), Key: uint64(num(4))})
+	case "crowd": // first-id count profile time-left cost: as many commands at once
+		for k := range int(num(1)) {
+			s.b.Command(s.now, Command{ID: uint32(num(0)) + uint32(k), Profile: int(num(2)), TimeLeft: num(3), Cost: num(4)})
+		}
+	case "warm": // count profile cost lag: commands answered one after another, not printed
+		s.quiet = true
+		for k := range int(num(0)) {
+			id := uint32(1e6 + s.now*1000 + float64(k))
+			s.b.Command(s.now, Command{ID: id, Profile: int(num(1)), TimeLeft: 100, Cost: num(2)})
+			s.end(id, Answered, num(3), num(2))
+		}
+		s.quiet = false
+	case "left":
+		s.b.Left(s.now, uint32(num(0)))
+	case "note": // id share-done
+		o := s.last[uint32(num(0))]
+		s.b.Note(s.now, Note{ID: o.ID, Engine: o.Engine, Send: o.Send, Kind: Progressed, Value: num(1)})
+	case "peer": // from, then its message in hex
+		var data []byte
+		_, err := fmt.Sscanf(words[1], "%x", &data)
+		s.must(err, line)
+		s.b.Peer(s.now, int(num(0)), data)
+	case "probed": // engine commands-held
+		s.load = Load{Held: num(1)}
+		s.b.Probed(s.now, uint32(num(0)), Answered, 0.001, &s.load)
+	case "pass": // time only
+	default: // an end: id [true work]; of the latest send
+		end, ok := ends[what]
+		if !ok {
+			s.t.Fatalf("script line %q: unknown event", line)
+		}
+		id := uint32(num(0))
+		s.end(id, end, math.Round((s.now-s.sent[id])*1e6)/1e6, num(1))
+	}
+}
+
+func (s *theatre) end(id uint32, end End, lag, work float64) {
+	o, ok := s.last[id]
+	if !ok {
+		s.t.Fatalf("command %d was not sent", id)
+	}
+	o.End, o.Lag, o.Work, o.Over = end, lag, work, end == Answered
+	s.b.Outcome(s.now, o)
+}
