--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -257,19 +257,22 @@
 	return &r.load
 }
 
+// millis writes seconds as the wire's milliseconds, in whole microseconds as the simulator counts.
+func millis(seconds float64) uint64 { return math.Float64bits(math.Round(seconds*1e6) / 1e3) }
+
 // The calls out, each one record of the reply.
 
 func (r *router) Send(id, engine uint32, limit float64) {
 	f := r.out.record(30)
 	be.PutUint32(f, id)
-	be.PutUint64(f[4:], math.Float64bits(limit/ms))
+	be.PutUint64(f[4:], millis(limit))
 	be.PutUint32(f[12:], engine)
 }
 
 func (r *router) Shed(id uint32, pause float64) {
 	f := r.out.record(50)
 	be.PutUint32(f, id)
-	be.PutUint64(f[4:], math.Float64bits(pause/ms))
+	be.PutUint64(f[4:], millis(pause))
 }
 
 func (r *router) Fail(id uint32) { be.PutUint32(r.out.record(140), id) }
@@ -291,7 +294,7 @@
 
 func (r *router) Wake(after float64, token uint64) {
 	f := r.out.record(60)
-	be.PutUint64(f, math.Float64bits(max(after, 0)/ms))
+	be.PutUint64(f, millis(max(after, 0)))
 	be.PutUint64(f[8:], token)
 }
 
--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -56,6 +56,9 @@
 	if err = json.Unmarshal(text, &b); err != nil {
 		return s, nil, fmt.Errorf("settings: %v", err)
 	}
+	if b.Balancers > 1<<16 || b.Me < 0 {
+		return s, nil, fmt.Errorf("settings: instance %d of %d", b.Me, b.Balancers)
+	}
 	const ms = 1e-3
 	s = brain.Settings{
 		Seed: seed, Me: b.Me, Routers: max(b.Balancers, 1), Zone: b.MyZone, Tick: b.Tick * ms,
