--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,23 +12,24 @@
 
 // Brain is the mind of one router.
 type Brain struct {
-	set                                     Settings
-	host                                    Host
-	now                                     float64
-	rnd                                     pcg
-	cmds                                    slab
-	prof                                    []profile
-	tenants                                 []tenant
-	pool                                           // engines, and what other routers have there
-	takes                                   window // commands taken, and sends beyond each one's first
-	further                                 window
-	share                                   float64 // of every engine, for this router
-	mark                                    float64 // cost mark of the short lane, per thread
-	cut                                     float64 // cost per benefit that the line lately gave up
-	sheds                                   int
-	message                                 []byte
-	outcome                                 Outcome
-	next                                    int // engine to probe next
+	set     Settings
+	host    Host
+	now     float64
+	rnd     pcg
+	cmds    slab
+	prof    []profile
+	tenants []tenant
+	pool           // engines, and what other routers have there
+	takes   window // commands taken, and sends beyond each one's first
+	further window
+	share   float64 // of every engine, for this router
+	mark    float64 // cost mark of the short lane, per thread
+	cut     float64 // cost per benefit that the line lately gave up
+	outcome Outcome
+	message []byte
+	sheds   int
+	next    int // engine to probe next
+
 	swapAt, logAt, tellAt, probeAt, watchAt float64
 }
 
@@ -75,17 +76,12 @@
 
 // ---- the chain
 
-type verdict uint8
-
-const (
-	pass verdict = iota // on to the next stage
-	keep                // the stage has it now
-	ended
-)
+// A stage passes a command on, keeps it or ends it.
+const pass, keep, ended = true, false, false
 
 type stage struct {
-	down func(*Brain, int32) verdict
-	up   func(*Brain, int32, *Outcome) verdict
+	down func(*Brain, int32) bool
+	up   func(*Brain, int32, *Outcome) bool
 }
 
 var chain []stage
@@ -96,10 +92,7 @@
 }
 
 func (b *Brain) down(i int32, from int) {
-	for _, s := range chain[from:] {
-		if s.down(b, i) != pass {
-			return
-		}
+	for s := from; s < len(chain) && chain[s].down(b, i); s++ {
 	}
 }
 
@@ -113,7 +106,7 @@
 func (b *Brain) Outcome(now float64, o Outcome) {
 	b.now, b.outcome = now, o // kept here, since a pointer into the chain would put it on the heap
 	i, ok := b.cmds.at[o.ID]
-	for s := len(chain) - 1; ok && s >= 0 && chain[s].up(b, i, &b.outcome) == pass; s-- {
+	for s := len(chain) - 1; ok && s >= 0 && chain[s].up(b, i, &b.outcome); s-- {
 	}
 	b.flush()
 }
@@ -132,7 +125,7 @@
 
 // ---- take: one answer for each command, before its client timeout (rule 1)
 
-func (b *Brain) take(i int32) verdict {
+func (b *Brain) take(i int32) bool {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
 	r.took, r.dueBy, r.worth, r.level = b.now, b.now+r.TimeLeft, p.Benefit, 1
@@ -172,7 +165,7 @@
 }
 
 // answer ends what neither an engine nor a further send has ended.
-func (b *Brain) answer(i int32, o *Outcome) verdict {
+func (b *Brain) answer(i int32, o *Outcome) bool {
 	if r := &b.cmds.rec[i]; !r.done && r.out.engine < 0 {
 		b.finish(i)
 	}
@@ -243,7 +236,7 @@
 
 // ---- admit: Bouncer's arrival estimate with its acceptance allowance
 
-func (b *Brain) admit(i int32) verdict {
+func (b *Brain) admit(i int32) bool {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
 	const allowance = 0.03 // A, the paper's upper value: keeps histograms filled and costs little
@@ -328,21 +321,25 @@
 }
 
 // again holds a command for a further send, where rules and time allow one.
-func (b *Brain) again(i int32, o *Outcome) verdict {
+func (b *Brain) again(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
 	if r.done || r.out.engine >= 0 || b.now+r.best > r.dueBy ||
-		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends ||
-		r.mayRun && (p.Effect == NonReplayable || p.Effect == Uniqued && b.now >= r.ranAt+p.Window) {
+		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends || !b.mayRepeat(r, p) {
 		return pass
 	}
 	b.cmds.hold(i)
 	return keep
 }
 
+// mayRepeat: what may have run runs again only where that does no harm (rule 2); allowed adds where.
+func (b *Brain) mayRepeat(r *record, p *profile) bool {
+	return !r.mayRun || p.Effect == Replayable || p.Effect == Uniqued && b.now < r.ranAt+p.Window
+}
+
 // ---- order: one at a time per key, in the order taken (rule 5)
 
-func (b *Brain) order(i int32) verdict {
+func (b *Brain) order(i int32) bool {
 	r := &b.cmds.rec[i]
 	if b.prof[r.Profile].Ordered && r.Key != 0 {
 		if l := b.cmds.keys[r.Key]; l.head != i || b.now < l.until {
@@ -354,7 +351,7 @@
 }
 
 // settle starts the rest of a key after an end that may still be running.
-func (b *Brain) settle(i int32, o *Outcome) verdict {
+func (b *Brain) settle(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
 	if b.prof[r.Profile].Ordered && r.Key != 0 && (o.End == TimedOut || o.End == Cut || o.End == Cancelled) {
 		b.cmds.restKey(r.Key, b.now+b.set.KeyRest)
@@ -364,7 +361,7 @@
 
 // ---- place: the engine with the fewest of our threads per core, within every rule
 
-func (b *Brain) place(i int32) verdict {
+func (b *Brain) place(i int32) bool {
 	if k := b.choose(&b.cmds.rec[i]); k >= 0 {
 		b.cmds.unhold(i)
 		b.send(i, k)
@@ -405,11 +402,9 @@
 
 // allowed holds the rules on where a send may go (2, 3, 4 and 6).
 func (b *Brain) allowed(r *record, p *profile, e *engine) bool {
-	if e.State != Ready || !among(p.Zones, e.Zone) || !among(p.Kinds, e.Kind) {
-		return false
-	}
-	if r.mayRun && (p.Effect == NonReplayable || p.Effect == Uniqued && (b.now >= r.ranAt+p.Window ||
-		p.Group == GroupZone && e.Zone != r.ranZone || p.Group == GroupCell && e.Cell != r.ranCell)) {
+	if e.State != Ready || !among(p.Zones, e.Zone) || !among(p.Kinds, e.Kind) || !b.mayRepeat(r, p) ||
+		r.mayRun && p.Effect == Uniqued && (p.Group == GroupZone && e.Zone != r.ranZone ||
+			p.Group == GroupCell && e.Cell != r.ranCell) {
 		return false
 	}
 	// This router's share of what a cold engine takes in one window. The ramp is not told, so the start's
@@ -490,19 +485,17 @@
 		r.level = level
 		b.host.Priority(r.ID, level, 0)
 	}
-	// Where a send can't be cancelled, a short command gives up on an engine without recent signs while another
-	// can still answer in time. Set on every send it cost 5% of them: estimates are too rough to tell late from
-	// lost.
+	// A trial that can't be cancelled gives up while another engine can still answer in time. Set on every send,
+	// this cost 5% of them on one deployment: estimates are too rough to tell late from lost.
 	limit := r.dueBy - b.now
-	quiet := e.ill || b.now-e.sign > 4*e.gap+0.1
-	if quiet && !b.set.Cancels && r.short && p.Effect == Replayable {
+	if e.ill && !b.set.Cancels && p.Effect == Replayable {
 		limit = min(limit, 0.6*(r.aim-r.took))
 	}
 	b.host.Send(r.ID, e.Engine, limit)
 }
 
 // judge settles the engine's account and takes the outcome as evidence of its health.
-func (b *Brain) judge(i int32, o *Outcome) verdict {
+func (b *Brain) judge(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
 	if o.Over && !r.done {
@@ -654,16 +647,7 @@
 // silence finds engines that take work and answer nothing: sends far past what they should take, and no sign
 // for much longer than usual. A crowded engine still answers now and then.
 func (b *Brain) silence() {
-	for k := range b.engines {
-		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
-	}
-	for i := range b.cmds.rec {
-		r := &b.cmds.rec[i]
-		if s := &r.out; r.inUse && s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
-			e := &b.engines[s.engine]
-			e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
-		}
-	}
+	b.cmds.markOverdue(b.engines, b.now, 3, 0.3) // three times what it should take, and a little for tiny ones
 	for k := range b.engines {
 		if e := &b.engines[k]; e.overdue >= 2 && !e.ill && b.now-e.sign > max(0.6, 6*e.gap, e.short) {
 			b.doubt(e, "is silent")
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -9,9 +9,9 @@
 	"testing"
 )
 
-// stage plays a script against one Brain and prints what it does. A script's lines are settings (JSON over the
-// defaults below) and events, each with its time; what the module does stands indented below the event or, where a
-// wake of its own brought it about, below "at". Wakes are played by the stage.
+// theatre plays a script against one Brain and prints what it does. A script's lines are settings (JSON over
+// the defaults below) and events, each with its time; what the module does stands indented below the event or,
+// where a wake of its own brought it about, below "at".
 type theatre struct {
 	t     *testing.T
 	b     *Brain
@@ -81,7 +81,8 @@
 			{Target: 2, Stretch: 2.5, Timeout: 15, Benefit: 10, Threads: 2}}}
 }
 
-var ends = map[string]End{"answered": Answered, "errored": Errored, "turned-away": TurnedAway, "timed-out": TimedOut,
+var ends = map[string]End{"answered": Answered, "errored": Errored, "turned-away": TurnedAway,
+	"timed-out":   TimedOut,
 	"unreachable": Unreachable, "cut": Cut, "cancelled": Cancelled, "moot": Moot}
 
 // play runs a script, less its indented lines, and gives it back with what the module did.
@@ -142,10 +143,12 @@
 	case "no-list":
 		s.b.Members(s.now, FailedAsk, nil)
 	case "command": // id profile time-left cost [key]
-		s.b.Command(s.now, Command{ID: uint32(num(0)), Profile: int(num(1)), TimeLeft: num(2), Cost: num(3), Key: uint64(num(4))})
+		s.b.Command(s.now, Command{ID: uint32(num(0)), Profile: int(num(1)), TimeLeft: num(2), Cost: num(3),
+			Key: uint64(num(4))})
 	case "crowd": // first-id count profile time-left cost: as many commands at once
 		for k := range int(num(1)) {
-			s.b.Command(s.now, Command{ID: uint32(num(0)) + uint32(k), Profile: int(num(2)), TimeLeft: num(3), Cost: num(4)})
+			s.b.Command(s.now, Command{ID: uint32(num(0)) + uint32(k), Profile: int(num(2)), TimeLeft: num(3),
+				Cost: num(4)})
 		}
 	case "warm": // count profile cost lag: commands answered one after another, not printed
 		s.quiet = true
