--- a/brain/brain.go
+++ b/brain/brain.go
@@ -430,7 +430,7 @@
 	case r.short:
 		// The lane goes past full places, but not without end: an engine that holds several threads a core does
 		// less work in total, and the lane's own commands would then be the ones that are late.
-		const lane = 2.0
+		const lane = 1.5
 		return e.threads+float64(p.Threads) <= lane*b.places(e)
 	}
 	return e.threads+float64(p.Threads) <= b.places(e)
