Let a cold engine's budget grow with the square of its age

Symptom: a wing restarts, its engines come back cold and hold 0 to 1 commands for 14 s while the other wing is crowded. Cause: the start's capacity was assumed until warm. Told from sickness: engines marked cold, not doubted. Harm: an engine that warms later than the square would be pressed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -407,12 +407,17 @@
 			p.Group == GroupCell && e.Cell != r.ranCell) {
 		return false
 	}
-	// This router's share of what a cold engine takes in one window. The ramp is not told, so the start's
-	// capacity holds throughout; the margin covers a slow engine, routers not yet told, and a burst at the
-	// start.
+	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <= b.coldBudget(e)
+}
+
+// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told: a late
+// one is assumed, from the start's capacity by the square of the age. The margin covers a slow engine, routers not
+// yet told, and a burst at the start.
+func (b *Brain) coldBudget(e *engine) float64 {
 	const margin = 0.5
-	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <=
-		b.set.FallMultiple*b.set.ColdFrom*e.cores*b.set.FallWindow*margin/float64(b.set.Routers)
+	age := (b.now - e.ReadyAt) / b.set.WarmUp
+	capacity := e.cores * (b.set.ColdFrom + (1-b.set.ColdFrom)*age*age)
+	return b.set.FallMultiple * capacity * b.set.FallWindow * margin / float64(b.set.Routers)
 }
 
 func (b *Brain) isCold(e *engine) bool { return e.ReadyAt > 0 && b.now < e.ReadyAt+b.set.WarmUp }
