--- a/brain/brain.go
+++ b/brain/brain.go
@@ -388,7 +388,7 @@
 		}
 		s := (e.threads + e.others + float64(p.Threads)) / e.cores * b.slowOf(e)
 		if e.Zone != b.set.Zone {
-			s *= 1.1 // elsewhere must be this much emptier: crossing has a small price and delay
+			s += 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
 		}
 		if int32(k) == r.avoid {
 			s += 1000 // any other engine first
