--- a/brain/brain.go
+++ b/brain/brain.go
@@ -410,9 +410,9 @@
 	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <= b.coldBudget(e)
 }
 
-// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told: a late
-// one is assumed, from the start's capacity by the square of the age. The margin covers a slow engine, routers not
-// yet told, and a burst at the start.
+// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told:
+// a late one is assumed, from the start's capacity by the square of the age. The margin covers a slow engine,
+// routers not yet told, and a burst at the start.
 func (b *Brain) coldBudget(e *engine) float64 {
 	const margin = 0.5
 	age := (b.now - e.ReadyAt) / b.set.WarmUp
@@ -530,7 +530,7 @@
 	const weight = 0.15 // of one outcome: some seven in a row tell
 	switch o.End {
 	case Answered:
-		b.alive(e)
+		e.sign = b.now
 		e.fails *= 1 - weight
 		work := o.Work
 		if work == 0 {
@@ -566,12 +566,6 @@
 	return pass
 }
 
-// alive notes a sign of life and the usual gap between two.
-func (b *Brain) alive(e *engine) {
-	e.gap += 0.1 * (min(b.now-e.sign, 5) - e.gap)
-	e.sign = b.now
-}
-
 // doubt stops ordinary sends to an engine; single trials find out when it is back.
 func (b *Brain) doubt(e *engine, why string) {
 	const first, longest = 0.5, 3.0 // some round trips; short against the shortest troubles
@@ -649,12 +643,13 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: sends far past what they should take, and no sign
-// for much longer than usual. A crowded engine still answers now and then.
+// silence finds engines that take work and answer nothing: two sends far past what they should take, and no
+// answer or note for 0.6 s (some gaps between two on a busy engine), or for as long as the shortest of them
+// should take.
 func (b *Brain) silence() {
 	b.cmds.markOverdue(b.engines, b.now, 3, 0.3) // three times what it should take, and a little for tiny ones
 	for k := range b.engines {
-		if e := &b.engines[k]; e.overdue >= 2 && !e.ill && b.now-e.sign > max(0.6, 6*e.gap, e.short) {
+		if e := &b.engines[k]; e.overdue >= 2 && !e.ill && b.now-e.sign > max(0.6, e.short) {
 			b.doubt(e, "is silent")
 		}
 	}
@@ -671,7 +666,7 @@
 	}
 	b.merge(scope, list, func(e *engine) {
 		// A new start: what was learned of the old process says nothing.
-		e.slow, e.slowAt, e.fails, e.ill, e.trial, e.gap, e.fullTo = 1, now, 0, false, false, 0, 0
+		e.slow, e.slowAt, e.fails, e.ill, e.trial, e.fullTo = 1, now, 0, false, false, 0
 		if e.cores = 1; e.Kind < len(b.set.KindCores) && b.set.KindCores[e.Kind] > 0 {
 			e.cores = b.set.KindCores[e.Kind]
 		}
@@ -686,7 +681,7 @@
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
 	if k, ok := b.index[n.Engine]; ok {
-		b.alive(&b.engines[k])
+		b.engines[k].sign = now
 	}
 	i, ok := b.cmds.at[n.ID]
 	if !ok || n.Kind != Progressed || n.Value <= 0 || b.cmds.rec[i].sends != 1 {
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -10,8 +10,8 @@
 )
 
 // theatre plays a script against one Brain and prints what it does. A script's lines are settings (JSON over
-// the defaults below) and events, each with its time; what the module does stands indented below the event, or
-// below "at" where a wake of its own brought it about.
+// the defaults below) and events, each with its time; what the module does stands indented below the event,
+// or below "at" where a wake of its own brought it about.
 type theatre struct {
 	t     *testing.T
 	b     *Brain
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -178,9 +178,8 @@
 	slow    float64 // slowdown against the usual of each profile, and when it was last learned
 	slowAt  float64
 	fails   float64 // recent share of sends that failed there
-	sign    float64 // last sign of life, and the usual gap between two
-	gap     float64
-	overdue int // sends long past what they should take, and what the shortest of them should
+	sign    float64 // last sign of life
+	overdue int     // sends long past what they should take, and what the shortest of them should
 	short   float64
 	fullTo  float64   // it turned us away: nothing before then
 	ill     bool      // gets one trial send at a time
