--- a/brain/brain.go
+++ b/brain/brain.go
@@ -259,9 +259,9 @@
 	}
 	wait, k := 0.0, b.choose(r)
 	if k >= 0 && !b.pressed(p, &b.engines[k]) {
-		// Exception: with an engine to spare a refusal protects nobody, so p90 does not bind (thin histograms,
+		// Exception: with an engine to spare a refusal protects nobody, so p90 alone does not bind (thin histograms,
 		// clients in a hurry). It ends as soon as the engines are pressed.
-		return r.best <= r.TimeLeft
+		return r.best <= r.TimeLeft || p.read.quantile(0.9) <= r.TimeLeft
 	}
 	aim := r.aim - b.now
 	if !r.short && k < 0 {
