--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,16 +19,13 @@
 	cmds    slab
 	prof    []profile
 	tenants []tenant
-	pool           // engines, and what other routers have there
-	takes   window // commands taken, and sends beyond each one's first
-	further window
-	share   float64 // of every engine, for this router
-	mark    float64 // cost mark of the short lane, per thread
-	cut     float64 // cost per benefit that the line lately gave up
-	outcome Outcome
-	message []byte
-	sheds   int
-	next    int // engine to probe next
+	pool    // engines, and what other routers have there
+
+	takes, further   window  // commands taken, and sends beyond each one's first
+	share, mark, cut float64 // of each engine for this router; cost mark of the lane; price the line gave up
+	outcome          Outcome
+	message          []byte
+	sheds, next      int // sheds since the last line in the log; engine to probe next
 
 	swapAt, logAt, tellAt, probeAt, watchAt float64
 }
@@ -259,8 +256,8 @@
 	}
 	wait, k := 0.0, b.choose(r)
 	if k >= 0 && !b.pressed(p, &b.engines[k]) {
-		// Exception: with an engine to spare a refusal protects nobody, so p90 alone does not bind (thin histograms,
-		// clients in a hurry). It ends as soon as the engines are pressed.
+		// Exception: with an engine to spare a refusal protects nobody, so p90 alone does not bind (thin
+		// histograms, clients in a hurry). It ends as soon as the engines are pressed.
 		return r.best <= r.TimeLeft || p.read.quantile(0.9) <= r.TimeLeft
 	}
 	aim := r.aim - b.now
@@ -548,20 +545,17 @@
 			}
 		}
 	case Errored, Unreachable, Cut:
-		if e.fails += weight * (1 - e.fails); o.End != Errored {
-			e.fails = max(e.fails, 0.5) // the process or the way to it is gone
-		}
-		if e.fails > 0.25 || e.ill {
+		// Where the process or the way to it is gone, one is enough.
+		if e.fails += weight * (1 - e.fails); e.fails > 0.25 || e.ill || o.End != Errored {
 			b.doubt(e, "fails what it is sent")
 		}
 	case TurnedAway:
 		// Full: a short rest, or what it turns away comes straight back and the storm feeds itself.
 		const fullRest = 0.1
 		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 2), b.now, b.now+fullRest
-	case TimedOut:
-		if e.ill {
-			b.doubt(e, "does not answer")
-		}
+	}
+	if o.End == TimedOut && e.ill {
+		b.doubt(e, "does not answer")
 	}
 	return pass
 }
