Count only sends after an engine's last sign as overdue; settings hold what is read

Cause: two badly estimated commands made a crowded engine look silent in a gap between answers. Told from hangs: the engine answered what was sent after those two.

--- a/brain/api.go
+++ b/brain/api.go
@@ -39,15 +39,14 @@
 
 // Profile is the settings of one kind of command.
 type Profile struct {
-	Target, Stretch      float64 // latency target, and what it grows by per second of work on each thread
-	Timeout              float64 // the client's, over all its tries
-	Benefit, LateBenefit float64 // of an answer in time; share of that for one after the target
-	Effect               Effect
-	Group                Group
-	Window               float64 // how long repeats are dropped
-	Ordered, Streamed    bool
-	Zones, Kinds         []int // the only places allowed; nil: any
-	Threads              int
+	Target, Stretch float64 // latency target, and what it grows by per second of work on each thread
+	Benefit         float64 // of an answer in time
+	Effect          Effect
+	Group           Group
+	Window          float64 // how long repeats are dropped
+	Ordered         bool
+	Zones, Kinds    []int // the only places allowed; nil: any
+	Threads         int
 }
 
 // Tenant has a share of the service.
@@ -64,17 +63,13 @@
 	KindCores         []float64 // cores by kind of machine; empty: not known
 	Ask               bool      // the list comes only when watched
 
-	Cancels, Probes, Peers, SecondCopies, Pauses bool
-	ProbeLoads                                   bool // a probe tells how many commands an engine holds
-	Priorities                                   bool
-	Progress                                     float64 // period of notes on a send that is out
-	MaxSends                                     int
-	MaxPause                                     float64
+	Cancels, Peers, Priorities bool
+	ProbeLoads                 bool // a probe tells how many commands an engine holds
+	MaxSends                   int
+	MaxPause                   float64 // longest pause that clients honour, 0: none
 
-	AnswerSlack, DrainGrace                    float64
 	ColdFrom, WarmUp, FallMultiple, FallWindow float64
 	KeyRest                                    float64
-	Budget                                     bool // further sends are rationed
 	BudgetFree, BudgetShare, BudgetWindow      float64
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -176,12 +176,8 @@
 	p := &b.prof[r.Profile]
 	at, risk := r.firstRisk()
 	if p.Effect == Replayable || !risk || p.Effect == Uniqued && p.Group == GroupAll && b.now < at+p.Window {
-		pause := 0.0
-		if b.set.Pauses {
-			pause = b.set.MaxPause / 2 // half of what clients honour: most do, and the rest spreads them
-		}
 		b.sheds++
-		b.host.Shed(r.ID, pause)
+		b.host.Shed(r.ID, b.set.MaxPause/2) // half of what clients honour: most do, and the rest spreads them
 	} else {
 		b.host.Fail(r.ID)
 	}
@@ -637,11 +633,20 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: two sends far past what they should take, and no
-// answer or note for 0.6 s (some gaps between two on a busy engine), or for as long as the shortest of them
-// should take.
+// silence finds engines that take work and answer nothing: no answer or note for 0.6 s (some gaps between two on a
+// busy engine), and two sends far past what they should take. Of those that left before the last sign it says little
+// that they are late, as estimates scatter: they count after 3 s. A crowded engine is not silent.
 func (b *Brain) silence() {
-	b.cmds.markOverdue(b.engines, b.now, 3, 0.3) // three times what it should take, and a little for tiny ones
+	for k := range b.engines {
+		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
+	}
+	for i := range b.cmds.rec {
+		if s := &b.cmds.rec[i].out; s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
+			if e := &b.engines[s.engine]; s.at >= e.sign || b.now-e.sign > 3 {
+				e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
+			}
+		}
+	}
 	for k := range b.engines {
 		if e := &b.engines[k]; e.overdue >= 2 && !e.ill && b.now-e.sign > max(0.6, e.short) {
 			b.doubt(e, "is silent")
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -75,10 +75,10 @@
 }
 
 func defaults() Settings {
-	return Settings{Seed: 1, Routers: 1, Tick: 0.005, KindCores: []float64{8}, MaxSends: 6, AnswerSlack: 0.02,
-		DrainGrace: 0.25, ColdFrom: 0.35, WarmUp: 15, FallMultiple: 2, FallWindow: 1, Profiles: []Profile{
-			{Target: 0.8, Stretch: 2, Timeout: 4, Benefit: 1, Threads: 1},
-			{Target: 2, Stretch: 2.5, Timeout: 15, Benefit: 10, Threads: 2}}}
+	return Settings{Seed: 1, Routers: 1, Tick: 0.005, KindCores: []float64{8}, MaxSends: 6,
+		ColdFrom: 0.35, WarmUp: 15, FallMultiple: 2, FallWindow: 1, Profiles: []Profile{
+			{Target: 0.8, Stretch: 2, Benefit: 1, Threads: 1},
+			{Target: 2, Stretch: 2.5, Benefit: 10, Threads: 2}}}
 }
 
 var ends = map[string]End{"answered": Answered, "errored": Errored, "turned-away": TurnedAway,
@@ -142,9 +142,9 @@
 		s.b.Members(s.now, scope, list)
 	case "no-list":
 		s.b.Members(s.now, FailedAsk, nil)
-	case "command": // id profile time-left cost [key]
+	case "command": // id profile time-left cost [key [tenant]]
 		s.b.Command(s.now, Command{ID: uint32(num(0)), Profile: int(num(1)), TimeLeft: num(2), Cost: num(3),
-			Key: uint64(num(4))})
+			Key: uint64(num(4)), Tenant: int(num(5))})
 	case "crowd": // first-id count profile time-left cost: as many commands at once
 		for k := range int(num(1)) {
 			s.b.Command(s.now, Command{ID: uint32(num(0)) + uint32(k), Profile: int(num(2)), TimeLeft: num(3),
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -47,19 +47,6 @@
 	return r.out.at, r.out.engine >= 0
 }
 
-// markOverdue counts, by engine, the sends out for longer than times what they should take, and plus.
-func (s *slab) markOverdue(engines []engine, now, times, plus float64) {
-	for k := range engines {
-		engines[k].overdue, engines[k].short = 0, math.Inf(1)
-	}
-	for i := range s.rec {
-		if o := &s.rec[i].out; s.rec[i].inUse && o.engine >= 0 && now-o.at > times*o.expect+plus {
-			e := &engines[o.engine]
-			e.overdue, e.short = e.overdue+1, min(e.short, o.expect)
-		}
-	}
-}
-
 // line is the commands of one order key, in the order taken.
 type line struct {
 	head, tail int32
--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -15,29 +15,28 @@
 	Discovery             string
 	OverShareWorth        float64
 	Classes               []struct {
-		Aim, AimStretch, Deadline, DedupWindow, LateWorth, Worth float64
-		Effect, Group                                            string
-		Streamed, ByArrival                                      bool
-		RunsIn, KindsOnly                                        []int
+		Aim, AimStretch, DedupWindow, Worth float64
+		Effect, Group                       string
+		ByArrival                           bool
+		RunsIn, KindsOnly                   []int
 	}
 	FamilyInfo struct {
 		CpuOfKind   []float64
 		Dop         []int
 		RanksHeeded bool
-		Progress    float64
 	}
 	Limits struct {
-		Cancel, Peers, Probes, RetryAfter, SecondCopies bool
-		MaxRetryAfter                                   float64
-		SendCap                                         int
+		Cancel, Peers, Probes, RetryAfter bool
+		MaxRetryAfter                     float64
+		SendCap                           int
 	}
 	LoadInfo struct {
 		Fields []string
 		Via    string
 	}
 	Obligations struct {
-		AnswerSlack, ColdFrom, DrainGrace, Fall, FallMultiple, WarmUp, KeyRest float64
-		ExtraFree, FurtherRatio, LookBack                                      *float64
+		ColdFrom, Fall, FallMultiple, WarmUp, KeyRest float64
+		ExtraFree, FurtherRatio, LookBack             *float64
 	}
 	Realms []struct{ QuotaPerS float64 }
 }
@@ -63,17 +62,19 @@
 	s = brain.Settings{
 		Seed: seed, Me: b.Me, Routers: max(b.Balancers, 1), Zone: b.MyZone, Tick: b.Tick * ms,
 		OverShareBenefit: b.OverShareWorth, KindCores: b.FamilyInfo.CpuOfKind, Ask: b.Discovery == "ask",
-		Cancels: b.Limits.Cancel, Probes: b.Limits.Probes, Peers: b.Limits.Peers,
-		SecondCopies: b.Limits.SecondCopies, Pauses: b.Limits.RetryAfter, Priorities: b.FamilyInfo.RanksHeeded,
-		Progress: b.FamilyInfo.Progress * ms, MaxSends: b.Limits.SendCap, MaxPause: b.Limits.MaxRetryAfter * ms,
-		AnswerSlack: b.Obligations.AnswerSlack * ms, DrainGrace: b.Obligations.DrainGrace * ms,
-		ColdFrom: b.Obligations.ColdFrom, WarmUp: b.Obligations.WarmUp * ms,
+		Cancels: b.Limits.Cancel, Peers: b.Limits.Peers,
+		Priorities: b.FamilyInfo.RanksHeeded,
+		MaxSends:   b.Limits.SendCap,
+		ColdFrom:   b.Obligations.ColdFrom, WarmUp: b.Obligations.WarmUp * ms,
 		FallMultiple: b.Obligations.FallMultiple, FallWindow: b.Obligations.Fall * ms,
 		KeyRest: b.Obligations.KeyRest * ms,
 	}
-	s.ProbeLoads = s.Probes && b.LoadInfo.Via != "off" && slices.Contains(b.LoadInfo.Fields, "active")
+	if b.Limits.RetryAfter {
+		s.MaxPause = b.Limits.MaxRetryAfter * ms
+	}
+	s.ProbeLoads = b.Limits.Probes && b.LoadInfo.Via != "off" && slices.Contains(b.LoadInfo.Fields, "active")
 	if o := b.Obligations; o.LookBack != nil && *o.LookBack > 0 {
-		s.Budget, s.BudgetWindow = true, *o.LookBack*ms
+		s.BudgetWindow = *o.LookBack * ms
 		if o.ExtraFree != nil {
 			s.BudgetFree = *o.ExtraFree
 		}
@@ -91,9 +92,9 @@
 			return s, nil, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
 		}
 		p := brain.Profile{
-			Target: c.Aim * ms, Stretch: c.AimStretch, Timeout: c.Deadline * ms, Benefit: c.Worth,
-			LateBenefit: c.LateWorth, Effect: effect, Group: group, Window: c.DedupWindow * ms,
-			Ordered: c.ByArrival, Streamed: c.Streamed, Zones: c.RunsIn, Kinds: c.KindsOnly, Threads: 1,
+			Target: c.Aim * ms, Stretch: c.AimStretch, Benefit: c.Worth,
+			Effect: effect, Group: group, Window: c.DedupWindow * ms,
+			Ordered: c.ByArrival, Zones: c.RunsIn, Kinds: c.KindsOnly, Threads: 1,
 		}
 		if i < len(b.FamilyInfo.Dop) {
 			p.Threads = max(b.FamilyInfo.Dop[i], 1)
