Time-outs count in the histogram only where answers come slowly

Symptom: two thirds of lookups refused for 15 s while reports were served and engines held a few threads. Cause: a sixth of sends never came back, their time-outs put the lookups' p90 at the time left, and the whole profile was refused. Told from overload: answers that came took their usual time. Also covers hung engines before they are doubted; harms where an engine goes from quick to dead within one swap, which silence catches.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -443,9 +443,11 @@
 	return max(e.cores*perCore-e.others, e.cores*perCore*b.share)
 }
 
+// wellAbove is the slowdown over best from which an engine is pressed.
+const wellAbove = 1.8
+
 // pressed: answers of the profile come well above best there, or the threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
-	const wellAbove = 1.8
 	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= 1.5*e.cores
 }
 
@@ -515,9 +517,9 @@
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
-	// A time-out counts at its age: without it the histogram would hold only the lucky. Ill and cold engines are
-	// left out: one of them must not refuse a profile everywhere.
-	if (o.End == Answered || o.End == TimedOut) && !e.ill && !b.isCold(e) {
+	// A time-out counts at its age where answers are slow: without it the histogram would hold only the lucky. Where
+	// they are not, the answer was lost, which refusing mends not. Ill and cold engines are left out.
+	if (o.End == Answered || o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove) && !e.ill && !b.isCold(e) {
 		p.fill.add(o.Lag)
 	}
 	const weight = 0.15 // of one outcome: some seven in a row tell
@@ -633,9 +635,9 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: no answer or note for 0.6 s (some gaps between two on a
-// busy engine), and two sends far past what they should take. Of those that left before the last sign it says little
-// that they are late, as estimates scatter: they count after 3 s. A crowded engine is not silent.
+// silence finds engines that take work and answer nothing: no answer or note for 0.6 s (some gaps between two
+// on a busy engine), and two sends far past what they should take. Of those that left before the last sign it
+// says little that they are late, as estimates scatter: they count after 3 s. A crowded engine is not silent.
 func (b *Brain) silence() {
 	for k := range b.engines {
 		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
