--- a/brain/brain.go
+++ b/brain/brain.go
@@ -517,8 +517,8 @@
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
-	// A time-out counts at its age where answers are slow: without it the histogram would hold only the lucky. Where
-	// they are not, the answer was lost, which refusing mends not. Ill and cold engines are left out.
+	// A time-out counts at its age where answers are slow, or the histogram would hold only the lucky; where they
+	// are not, the answer was lost, and refusing mends nothing. Ill and cold engines are left out.
 	if (o.End == Answered || o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove) && !e.ill && !b.isCold(e) {
 		p.fill.add(o.Lag)
 	}
@@ -543,8 +543,8 @@
 			}
 		}
 	case Errored, Unreachable, Cut:
-		// Where the process or the way to it is gone, one is enough.
-		if e.fails += weight * (1 - e.fails); e.fails > 0.25 || e.ill || o.End != Errored {
+		// Where none can be reached one is enough; a dropped connection may be the network's.
+		if e.fails += weight * (1 - e.fails); e.fails > 0.25 || e.ill || o.End == Unreachable {
 			b.doubt(e, "fails what it is sent")
 		}
 	case TurnedAway:
