Keep some threads of each engine for the short lane; count unknown others in full engines

Symptom: 98% refused for ten seconds while half the pool was up. Cause: each router filled engines with reports up to 1.5 threads a core by itself, not counting the four others; then the lane was closed by them and no lookup left. Told from plain overload: engines held only reports, lookups were shed though they run at 16 to 1.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -48,7 +48,7 @@
 	n := max(set.Routers, 1)
 	// Equal shares: what is known of the others' load, where it is, corrects the guess.
 	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(), pool: newPool(n),
-		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now + swapEvery, watchAt: math.Inf(1)}
+		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now, watchAt: math.Inf(1)}
 	// The allowance's window holds some tens of a rare profile's commands.
 	const allowSpan = 10.0
 	// The short lane takes what leaves half the tightest target for crowding, whatever the deployment.
@@ -67,7 +67,7 @@
 	if set.Ask {
 		host.Watch(true)
 	}
-	host.Wake(tickEvery, 0)
+	host.Wake(0, 0)
 	return b
 }
 
@@ -427,9 +427,9 @@
 		return true
 	case r.short:
 		// The lane goes past full places, but not without end: an engine that holds several threads a core does
-		// less work in total, and the lane's own commands would then be the ones that are late.
+		// less work in total. Some threads are the lane's own, or long commands could close it for seconds.
 		const lane = 1.5
-		return e.threads+float64(p.Threads) <= lane*b.places(e)
+		return e.threads+float64(p.Threads) <= lane*b.places(e) || e.lane+float64(p.Threads) <= 0.6*e.cores*b.share
 	}
 	return e.threads+float64(p.Threads) <= b.places(e)
 }
@@ -448,7 +448,11 @@
 
 // pressed: answers of the profile come well above best there, or the threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
-	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= 1.5*e.cores
+	full := 1.5 * e.cores
+	if !e.known { // others' load: twice an equal share, or many routers fill an engine before answers show it
+		full *= min(1, 2*b.share)
+	}
+	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= full
 }
 
 // slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual,
@@ -470,7 +474,7 @@
 	}
 	r.sends++
 	e.outs++
-	e.threads += float64(p.Threads)
+	e.load(r.short, float64(p.Threads))
 	e.trial = e.ill
 	if b.isCold(e) {
 		e.cold.add(b.now, p.usual())
@@ -509,7 +513,7 @@
 	r.out.engine = -1
 	e := &b.engines[s.engine]
 	e.outs--
-	e.threads -= float64(p.Threads)
+	e.load(r.short, -float64(p.Threads))
 	e.trial = false
 	if o.End != Answered {
 		r.avoid = s.engine
@@ -517,8 +521,8 @@
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
-	// A time-out counts at its age where answers are slow, or the histogram would hold only the lucky; where they
-	// are not, the answer was lost, and refusing mends nothing. Ill and cold engines are left out.
+	// A time-out counts at its age where answers are slow, or the histogram would hold only the lucky; else the
+	// answer was lost, and refusing mends nothing. Ill and cold engines are left out.
 	if (o.End == Answered || o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove) && !e.ill && !b.isCold(e) {
 		p.fill.add(o.Lag)
 	}
@@ -575,9 +579,6 @@
 
 // ---- upkeep
 
-// tickEvery paces upkeep: short against every latency target, long against the cost of a scan.
-const tickEvery = 0.05
-
 // Woken is the upkeep tick (token 0) or a command's last moment.
 func (b *Brain) Woken(now float64, token uint64) {
 	b.now = now
@@ -588,7 +589,7 @@
 		}
 		return
 	}
-	b.host.Wake(tickEvery, 0)
+	b.host.Wake(0.05, 0) // short against every latency target, long against the cost of a scan
 	if now >= b.swapAt {
 		b.swap()
 	}
@@ -613,15 +614,11 @@
 	b.flush()
 }
 
-// swapEvery is the design page's 2 s.
-const swapEvery = 2.0
-
-// swap turns the buffers over. A part of the old is carried on, more where it is thin: with some twenty
-// samples one odd command moves the 90th percentile past the time left, and the whole profile would be
-// refused for seconds.
+// swap turns the buffers over. A part of the old is carried on, more where it is thin: with some twenty samples
+// one odd command puts the 90th percentile past the time left, and the whole profile is refused for seconds.
 func (b *Brain) swap() {
 	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
-	b.swapAt += swapEvery
+	b.swapAt += 2                                // seconds, the design page's
 	for k := range b.prof {
 		p := &b.prof[k]
 		p.read, p.fill = p.fill, p.read
@@ -730,10 +727,9 @@
 		b.message = b.pack(b.message)
 		b.host.Tell(-1, b.message)
 	}
-	if alive := b.sumUp(b.now, fresh, 2*probeEvery); alive > 0 {
-		b.share = 1 / float64(alive+1)
-	} else {
-		b.share = 1 / float64(len(b.heard))
+	b.share = 1 / float64(len(b.heard))
+	if alive, met := b.sumUp(b.now, fresh, 2*probeEvery); met {
+		b.share = 1 / float64(max(alive+1, 2)) // never all: it may only be this router that hears nothing
 	}
 	if n := len(b.engines); b.set.ProbeLoads && len(b.heard) > 1 && n > 0 && b.now >= b.probeAt {
 		b.probeAt = b.now + probeEvery/float64(n) // one by one, so that news does not come to all at once
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -160,7 +160,8 @@
 type engine struct {
 	Entry
 	cores   float64
-	threads float64 // ours that are out there
+	threads float64 // ours that are out there, and those of the short lane
+	lane    float64
 	outs    int
 	slow    float64 // slowdown against the usual of each profile, and when it was last learned
 	slowAt  float64
@@ -178,6 +179,14 @@
 	rest    float64   // threads of all others, as the engine's load report implies, and when
 	restAt  float64
 	others  float64 // threads of all others, as far as that is known
+	known   bool
+}
+
+func (e *engine) load(short bool, threads float64) {
+	e.threads += threads
+	if short {
+		e.lane += threads
+	}
 }
 
 func among(list []int, v int) bool {
@@ -214,15 +223,17 @@
 
 // sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the
 // former.
-func (p *pool) sumUp(now, heardFor, reportedFor float64) (alive int) {
+func (p *pool) sumUp(now, heardFor, reportedFor float64) (alive int, met bool) {
 	for _, at := range p.heard {
+		met = met || !math.IsInf(at, -1)
 		if now-at < heardFor {
 			alive++
 		}
 	}
 	for k := range p.engines {
 		e := &p.engines[k]
-		if e.others = 0; alive == 0 && now-e.restAt < reportedFor {
+		reported := now-e.restAt < reportedFor
+		if e.others, e.known = 0, met || reported; !met && reported {
 			e.others = e.rest
 		}
 		for r, at := range p.heard {
@@ -231,7 +242,7 @@
 			}
 		}
 	}
-	return alive
+	return alive, met
 }
 
 // merge takes a list event in and calls fresh for each engine that is new or has started anew.
