--- a/brain/brain.go
+++ b/brain/brain.go
@@ -429,7 +429,8 @@
 		// The lane goes past full places, but not without end: an engine that holds several threads a core does
 		// less work in total. Some threads are the lane's own, or long commands could close it for seconds.
 		const lane = 1.5
-		return e.threads+float64(p.Threads) <= lane*b.places(e) || e.lane+float64(p.Threads) <= 0.6*e.cores*b.share
+		own := max(1, 0.6*e.cores*b.share)
+		return e.threads+float64(p.Threads) <= lane*b.places(e) || e.lane+float64(p.Threads) <= own
 	}
 	return e.threads+float64(p.Threads) <= b.places(e)
 }
@@ -614,7 +615,7 @@
 	b.flush()
 }
 
-// swap turns the buffers over. A part of the old is carried on, more where it is thin: with some twenty samples
+// swap turns the buffers over. A part of the old is carried on, more where it is thin: with twenty samples
 // one odd command puts the 90th percentile past the time left, and the whole profile is refused for seconds.
 func (b *Brain) swap() {
 	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
