A send whose answer is likely lost no longer takes a place

Symptom: places full of commands that never come back, refusals at engines that answer at their best. Cause: a send that can't be cancelled, or hangs, held its place until the client timeout. Harm: a command that truly runs six times its estimate crowds an engine uncounted.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,8 +40,7 @@
 	slow           float64 // usual slowdown: processing time over work per thread
 }
 
-// tenant is a bucket of what its quota still allows.
-type tenant struct{ left, at float64 }
+type tenant struct{ left, at float64 } // a bucket of what its quota still allows
 
 // New makes the mind of one router.
 func New(set Settings, now float64, host Host) *Brain {
@@ -49,10 +48,8 @@
 	// Equal shares: what is known of the others' load, where it is, corrects the guess.
 	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(), pool: newPool(n),
 		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now, watchAt: math.Inf(1)}
-	// The allowance's window holds some tens of a rare profile's commands.
-	const allowSpan = 10.0
-	// The short lane takes what leaves half the tightest target for crowding, whatever the deployment.
-	const markShare = 0.5
+	const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
+	const markShare = 0.5  // the short lane leaves half the tightest target for crowding
 	for _, p := range set.Profiles {
 		p.Threads = max(p.Threads, 1)
 		// Buckets from 1 ms to 5 min, each 15% wider: finer than the estimates that they are compared with.
@@ -73,8 +70,7 @@
 
 // ---- the chain
 
-// A stage passes a command on, keeps it or ends it.
-const pass, keep, ended = true, false, false
+const pass, keep, ended = true, false, false // a stage passes a command on, keeps it or ends it
 
 type stage struct {
 	down func(*Brain, int32) bool
@@ -149,8 +145,7 @@
 	r.best = r.cost / float64(p.Threads)
 	r.aim = r.took + p.Target + p.Stretch*r.best
 	r.short = r.best <= b.mark && r.worth == p.Benefit
-	// Cheapest per benefit first; a second of waiting makes up for 0.05 s of work per unit of benefit (ageing).
-	const ageing = 0.05
+	const ageing = 0.05 // cheapest per benefit first; a second of waiting makes up for that much of it
 	r.price = r.cost / max(r.worth, 1e-9)
 	r.rank = r.price + ageing*r.took
 	if p.Ordered && r.Key != 0 {
@@ -246,8 +241,7 @@
 
 // inTime compares both estimates with both targets, and the wait with the moment a held command is given up.
 func (b *Brain) inTime(r *record, p *profile) bool {
-	const minSamples = 20 // the design page's
-	if p.read.n < minSamples {
+	if p.read.n < 20 { // the design page's
 		return true
 	}
 	wait, k := 0.0, b.choose(r)
@@ -514,7 +508,9 @@
 	r.out.engine = -1
 	e := &b.engines[s.engine]
 	e.outs--
-	e.load(r.short, -float64(p.Threads))
+	if !s.lost {
+		e.load(r.short, -float64(p.Threads))
+	}
 	e.trial = false
 	if o.End != Answered {
 		r.avoid = s.engine
@@ -547,15 +543,13 @@
 				b.log("engine %d answers again", e.Engine)
 			}
 		}
-	case Errored, Unreachable, Cut:
-		// Where none can be reached one is enough; a dropped connection may be the network's.
+	case Errored, Unreachable, Cut: // one failed connect is enough; a drop may be the network's
 		if e.fails += weight * (1 - e.fails); e.fails > 0.25 || e.ill || o.End == Unreachable {
 			b.doubt(e, "fails what it is sent")
 		}
 	case TurnedAway:
 		// Full: a short rest, or what it turns away comes straight back and the storm feeds itself.
-		const fullRest = 0.1
-		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 2), b.now, b.now+fullRest
+		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 2), b.now, b.now+0.1
 	}
 	if o.End == TimedOut && e.ill {
 		b.doubt(e, "does not answer")
@@ -641,9 +635,15 @@
 		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
 	}
 	for i := range b.cmds.rec {
-		if s := &b.cmds.rec[i].out; s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
-			if e := &b.engines[s.engine]; s.at >= e.sign || b.now-e.sign > 3 {
+		r := &b.cmds.rec[i]
+		if s := &r.out; s.engine >= 0 && b.now-s.at > 3*s.expect+0.3 {
+			e := &b.engines[s.engine]
+			if s.at >= e.sign || b.now-e.sign > 3 {
 				e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
+			} else if !s.lost && b.now-s.at > 6*s.expect+1 {
+				// Its answer is likely lost, as later ones came: it no longer takes a place.
+				s.lost = true
+				e.load(r.short, -float64(b.prof[r.Profile].Threads))
 			}
 		}
 	}
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -13,6 +13,7 @@
 	at     float64 // when it left
 	expect float64 // how long it should take
 	asked  bool    // its cancel has been asked for
+	lost   bool    // no place is counted for it any more
 }
 
 // record is one command in hand: until it has its final answer and no send of it is out.
