--- a/brain/slab.go
+++ b/brain/slab.go
@@ -199,7 +199,7 @@
 	return list == nil
 }
 
-// pool is the engines of the list. Places are never reused, so that a send finds its engine.
+// pool is the engines of the list. The place of one that is gone is reused once no send of ours is out there.
 type pool struct {
 	engines []engine
 	index   map[uint32]int32
@@ -246,6 +246,18 @@
 	return alive, met
 }
 
+// place is a free one among the engines.
+func (p *pool) place() int32 {
+	for k := range p.engines {
+		if e := &p.engines[k]; e.State == Gone && e.outs == 0 {
+			delete(p.index, e.Engine)
+			return int32(k)
+		}
+	}
+	p.engines = append(p.engines, engine{})
+	return int32(len(p.engines) - 1)
+}
+
 // merge takes a list event in and calls fresh for each engine that is new or has started anew.
 func (p *pool) merge(scope Scope, list []Entry, fresh func(*engine)) {
 	for k := range p.engines {
@@ -260,9 +272,9 @@
 	for _, n := range list {
 		k, ok := p.index[n.Engine]
 		if !ok {
-			k = int32(len(p.engines))
+			k = p.place()
 			p.index[n.Engine] = k
-			p.engines = append(p.engines, engine{theirs: make([]float64, len(p.heard)), restAt: math.Inf(-1)})
+			p.engines[k] = engine{theirs: make([]float64, len(p.heard)), restAt: math.Inf(-1)}
 		}
 		e := &p.engines[k]
 		again := !ok || n.ReadyAt != e.ReadyAt
