--- a/brain/brain.go
+++ b/brain/brain.go
@@ -148,7 +148,7 @@
 	const ageing = 0.05 // cheapest per benefit first; a second of waiting makes up for that much of it
 	r.price = r.cost / max(r.worth, 1e-9)
 	r.rank = r.price + ageing*r.took
-	if p.Ordered && r.Key != 0 {
+	if b.inOrder(r) {
 		b.cmds.enlist(i)
 	}
 	// The answer leaves two ticks before the client gives up, since a wake may come a tick late.
@@ -160,8 +160,9 @@
 func (b *Brain) answer(i int32, o *Outcome) bool {
 	if r := &b.cmds.rec[i]; !r.done && r.out.engine < 0 {
 		b.finish(i)
+	} else {
+		b.let(i)
 	}
-	b.let(i)
 	return ended
 }
 
@@ -197,8 +198,8 @@
 // let frees the place of a command that has its answer and no send out; its key's line moves on.
 func (b *Brain) let(i int32) {
 	switch r := &b.cmds.rec[i]; {
-	case !r.inUse || !r.done || r.out.engine >= 0:
-	case b.prof[r.Profile].Ordered && r.Key != 0:
+	case !r.done || r.out.engine >= 0:
+	case b.inOrder(r):
 		b.cmds.moveOn(r.Key)
 	default:
 		b.cmds.release(i)
@@ -280,12 +281,12 @@
 }
 
 // learn keeps a profile's times, true work and bias.
-func (p *profile) learn(r *record, o *Outcome, work float64) {
+func (p *profile) learn(r *record, o *Outcome, work, slow float64) {
 	if o.Work > 0 && r.Cost > 0 { // sums fade over some hundred answers: the bias is the profile's and steady
 		p.hinted, p.worked = p.hinted*0.99+r.Cost, p.worked*0.99+work
 	}
 	p.meet(work)
-	p.slow += 0.05 * (slowdown(o, p, work) - p.slow)
+	p.slow += 0.05 * (slow - p.slow)
 }
 
 // meet averages the work, over some hundred at the most.
@@ -302,11 +303,6 @@
 	return p.work
 }
 
-// slowdown of an answer over its best; capped, since one odd answer should not outweigh twenty.
-func slowdown(o *Outcome, p *profile, work float64) float64 {
-	return min(o.Lag*float64(p.Threads)/max(work, 0.001), 20)
-}
-
 // again holds a command for a further send, where rules and time allow one.
 func (b *Brain) again(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
@@ -326,9 +322,11 @@
 
 // ---- order: one at a time per key, in the order taken (rule 5)
 
+func (b *Brain) inOrder(r *record) bool { return b.prof[r.Profile].Ordered && r.Key != 0 }
+
 func (b *Brain) order(i int32) bool {
 	r := &b.cmds.rec[i]
-	if b.prof[r.Profile].Ordered && r.Key != 0 {
+	if b.inOrder(r) {
 		if l := b.cmds.keys[r.Key]; l.head != i || b.now < l.until {
 			b.cmds.hold(i)
 			return keep
@@ -340,7 +338,7 @@
 // settle starts the rest of a key after an end that may still be running.
 func (b *Brain) settle(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
-	if b.prof[r.Profile].Ordered && r.Key != 0 && (o.End == TimedOut || o.End == Cut || o.End == Cancelled) {
+	if b.inOrder(r) && (o.End == TimedOut || o.End == Cut || o.End == Cancelled) {
 		b.cmds.restKey(r.Key, b.now+b.set.KeyRest)
 	}
 	return pass
@@ -360,8 +358,8 @@
 
 func (b *Brain) choose(r *record) int32 {
 	p := &b.prof[r.Profile]
-	// Rule 7; and one send at a time, whether or not copies are barred.
-	if r.out.engine >= 0 || r.sends > 0 && b.set.BudgetWindow > 0 &&
+	// Rules 2 and 7; and one send at a time, whether or not copies are barred.
+	if r.out.engine >= 0 || !b.mayRepeat(r, p) || r.sends > 0 && b.set.BudgetWindow > 0 &&
 		b.further.most(b.now)+1 > b.set.BudgetFree+b.set.BudgetShare*b.takes.least(b.now) {
 		return -1
 	}
@@ -389,7 +387,7 @@
 
 // allowed holds the rules on where a send may go (2, 3, 4 and 6).
 func (b *Brain) allowed(r *record, p *profile, e *engine) bool {
-	if e.State != Ready || !among(p.Zones, e.Zone) || !among(p.Kinds, e.Kind) || !b.mayRepeat(r, p) ||
+	if e.State != Ready || !among(p.Zones, e.Zone) || !among(p.Kinds, e.Kind) ||
 		r.mayRun && p.Effect == Uniqued && (p.Group == GroupZone && e.Zone != r.ranZone ||
 			p.Group == GroupCell && e.Cell != r.ranCell) {
 		return false
@@ -514,7 +512,7 @@
 	e.trial = false
 	if o.End != Answered {
 		r.avoid = s.engine
-		if !o.End.NeverRan() && (!r.mayRun || s.at < r.ranAt) {
+		if !o.End.NeverRan() && !r.mayRun {
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
@@ -532,10 +530,11 @@
 		if work == 0 {
 			work = r.cost
 		}
-		p.learn(r, o, work)
+		slow := min(o.Lag*float64(p.Threads)/max(work, 0.001), 20) // capped: one odd answer is not twenty
+		p.learn(r, o, work, slow)
 		// Longer work tells more of the engine; tiny commands are mostly delay.
 		was := b.slowOf(e)
-		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slowdown(o, p, work)/max(p.slow, 0.1)-was), b.now
+		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slow/max(p.slow, 0.1)-was), b.now
 		if e.ill {
 			e.fails *= 0.5
 			if e.fails < 0.1 {
@@ -617,9 +616,11 @@
 	for k := range b.prof {
 		p := &b.prof[k]
 		p.read, p.fill = p.fill, p.read
-		if p.fill.copyScaled(&p.read, carry); p.read.n < thin {
-			p.fill.copyScaled(&p.read, carryThin)
+		share := carry
+		if p.read.n < thin {
+			share = carryThin
 		}
+		p.fill.copyScaled(&p.read, share)
 	}
 	if b.sheds > 0 && b.now >= b.logAt {
 		b.log("shed %d commands, %d held", b.sheds, len(b.cmds.held))
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -93,8 +93,8 @@
 		if strings.HasPrefix(line, " ") || strings.HasPrefix(line, "at ") {
 			continue
 		}
-		if json, ok := strings.CutPrefix(line, "settings "); ok {
-			s.must(unmarshal(json, &set), line)
+		if text, ok := strings.CutPrefix(line, "settings "); ok {
+			s.must(json.Unmarshal([]byte(text), &set), line)
 		} else if line != "" && !strings.HasPrefix(line, "#") {
 			var at float64
 			var what string
@@ -114,8 +114,6 @@
 	return s.out.String()
 }
 
-func unmarshal(text string, v any) error { return json.Unmarshal([]byte(text), v) }
-
 func (s *theatre) must(err error, line string) {
 	if err != nil {
 		s.t.Fatalf("script line %q: %v", line, err)
@@ -138,7 +136,7 @@
 		if what == "delta" {
 			scope = Delta
 		}
-		s.must(unmarshal(strings.SplitN(line, what+" ", 2)[1], &list), line)
+		s.must(json.Unmarshal([]byte(strings.SplitN(line, what+" ", 2)[1]), &list), line)
 		s.b.Members(s.now, scope, list)
 	case "no-list":
 		s.b.Members(s.now, FailedAsk, nil)
--- a/brain/histogram.go
+++ b/brain/histogram.go
@@ -61,18 +61,23 @@
 	return window{step: span / float64(steps), sums: make([]float64, steps+1), first: math.MinInt64}
 }
 
+// bucket holds step i; one step on from the newest stands the oldest.
+func (w *window) bucket(i int64) *float64 {
+	n := int64(len(w.sums))
+	return &w.sums[((i%n)+n)%n]
+}
+
 func (w *window) advance(now float64) {
 	k, n := int64(math.Floor(now/w.step)), int64(len(w.sums))
 	for i := max(w.first+1, k-n+1); i <= k; i++ {
-		w.sums[((i%n)+n)%n] = 0
+		*w.bucket(i) = 0
 	}
 	w.first = max(w.first, k)
 }
 
 func (w *window) add(now, v float64) {
 	w.advance(now)
-	n := int64(len(w.sums))
-	w.sums[((w.first%n)+n)%n] += v
+	*w.bucket(w.first) += v
 }
 
 // most sums everything in the span and the whole of the step that its start cuts.
@@ -86,7 +91,6 @@
 
 // least sums only the steps that lie wholly inside the span.
 func (w *window) least(now float64) float64 {
-	n := int64(len(w.sums))
 	sum := w.most(now)
-	return sum - w.sums[(((w.first+1)%n)+n)%n]
+	return sum - *w.bucket(w.first + 1)
 }
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -36,7 +36,6 @@
 	held        bool
 	done        bool
 	streaming   bool
-	inUse       bool
 	next        int32 // next of the same order key, -1: none
 }
 
@@ -74,14 +73,13 @@
 		i = int32(len(s.rec))
 		s.rec = append(s.rec, record{})
 	}
-	s.rec[i] = record{Command: c, avoid: -1, next: -1, inUse: true, out: send{engine: -1}}
+	s.rec[i] = record{Command: c, avoid: -1, next: -1, out: send{engine: -1}}
 	s.at[c.ID] = i
 	return i
 }
 
 func (s *slab) release(i int32) {
 	delete(s.at, s.rec[i].ID)
-	s.rec[i].inUse = false
 	s.free = append(s.free, i)
 }
 
--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -58,7 +58,6 @@
 	if b.Balancers > 1<<16 || b.Me < 0 {
 		return s, nil, fmt.Errorf("settings: instance %d of %d", b.Me, b.Balancers)
 	}
-	const ms = 1e-3
 	s = brain.Settings{
 		Seed: seed, Me: b.Me, Routers: max(b.Balancers, 1), Zone: b.MyZone, Tick: b.Tick * ms,
 		OverShareBenefit: b.OverShareWorth, KindCores: b.FamilyInfo.CpuOfKind, Ask: b.Discovery == "ask",
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -31,11 +31,7 @@
 		body += pad(e, eventSize)
 	}
 	body += hex.EncodeToString([]byte(tail))
-	b, err := hex.DecodeString(hx32(len(body)/2) + body)
-	if err != nil {
-		panic(err)
-	}
-	return b
+	return mustHex(hx32(len(body)/2) + body)
 }
 
 func serve(t *testing.T, in ...[]byte) (string, error) {
