Messages and probes follow the router's own commands

Cause: every router told every other 5 times a second and probed every engine once a second; the price grows with the square of the fleet. Now a quarter point at most; what can't be told while it is fresh is not told, and a router never heard counts as present.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,7 +27,7 @@
 	message          []byte
 	sheds, next      int // sheds since the last line in the log; engine to probe next
 
-	swapAt, logAt, tellAt, probeAt, watchAt float64
+	began, swapAt, logAt, tellAt, probeAt, watchAt float64
 }
 
 // profile is a row of the table of profiles.
@@ -42,14 +42,15 @@
 
 type tenant struct{ left, at float64 } // a bucket of what its quota still allows
 
+const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
+
 // New makes the mind of one router.
 func New(set Settings, now float64, host Host) *Brain {
 	n := max(set.Routers, 1)
 	// Equal shares: what is known of the others' load, where it is, corrects the guess.
 	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(), pool: newPool(n),
-		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now, watchAt: math.Inf(1)}
-	const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
-	const markShare = 0.5  // the short lane leaves half the tightest target for crowding
+		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now, began: now, watchAt: math.Inf(1)}
+	const markShare = 0.5 // the short lane leaves half the tightest target for crowding
 	for _, p := range set.Profiles {
 		p.Threads = max(p.Threads, 1)
 		// Buckets from 1 ms to 5 min, each 15% wider: finer than the estimates that they are compared with.
@@ -253,8 +254,7 @@
 	}
 	aim := r.aim - b.now
 	if !r.short && k < 0 {
-		// Exception: what would only be given up in the line is refused now, by its wait or by what the line has
-		// just given up; the estimate does not see the cheaper commands that come later and pass.
+		// Exception: what would only be given up in the line is refused now, by its wait or what it just gave up.
 		if wait = b.waitOf(r.rank); wait+r.best > aim || r.price >= b.cut {
 			return false
 		}
@@ -418,8 +418,7 @@
 	case !b.pressed(p, e) || e.threads == 0:
 		return true
 	case r.short:
-		// The lane goes past full places, but not without end: an engine that holds several threads a core does
-		// less work in total. Some threads are the lane's own, or long commands could close it for seconds.
+		// Past full places, not without end, as crowded engines do less. Own threads: long commands can't close it.
 		const lane = 1.5
 		own := max(1, 0.6*e.cores*b.share)
 		return e.threads+float64(p.Threads) <= lane*b.places(e) || e.lane+float64(p.Threads) <= own
@@ -482,8 +481,7 @@
 		r.level = level
 		b.host.Priority(r.ID, level, 0)
 	}
-	// A trial that can't be cancelled gives up while another engine can still answer in time. Set on every send,
-	// this cost 5% of them on one deployment: estimates are too rough to tell late from lost.
+	// A trial that can't be cancelled gives up while another engine can still answer in time.
 	limit := r.dueBy - b.now
 	if e.ill && !b.set.Cancels && p.Effect == Replayable {
 		limit = min(limit, 0.6*(r.aim-r.took))
@@ -532,7 +530,6 @@
 		}
 		slow := min(o.Lag*float64(p.Threads)/max(work, 0.001), 20) // capped: one odd answer is not twenty
 		p.learn(r, o, work, slow)
-		// Longer work tells more of the engine; tiny commands are mostly delay.
 		was := b.slowOf(e)
 		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slow/max(p.slow, 0.1)-was), b.now
 		if e.ill {
@@ -608,8 +605,8 @@
 	b.flush()
 }
 
-// swap turns the buffers over. A part of the old is carried on, more where it is thin: with twenty samples
-// one odd command puts the 90th percentile past the time left, and the whole profile is refused for seconds.
+// swap turns the buffers over. A part of the old is carried on, more where thin: one odd command in twenty
+// puts the 90th percentile past the time left, and the whole profile is refused for seconds.
 func (b *Brain) swap() {
 	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
 	b.swapAt += 2                                // seconds, the design page's
@@ -628,9 +625,8 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: no answer or note for 0.6 s (some gaps between two
-// on a busy engine), and two sends far past what they should take. Of those that left before the last sign it
-// says little that they are late, as estimates scatter: they count after 3 s. A crowded engine is not silent.
+// silence finds engines that take work and answer nothing: no answer or note for 0.6 s, and two sends far past
+// what they should take. Those that left before the last sign count after 3 s only.
 func (b *Brain) silence() {
 	for k := range b.engines {
 		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
@@ -675,9 +671,8 @@
 	b.flush()
 }
 
-// Note tells of a send that is out. One far behind what a fresh start would need, and too late at its pace,
-// is started again elsewhere, once: a bad plan, a slow engine, or spilling. It does harm where the estimate
-// was the fault.
+// Note tells of a send that is out. One far behind a fresh start, and too late at its pace, is started again
+// elsewhere, once: a bad plan, a slow engine, or spilling. Harm: where the estimate was the fault.
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
 	if k, ok := b.index[n.Engine]; ok {
@@ -719,22 +714,28 @@
 }
 
 // report tells the other routers our load, asks engines that report theirs, and sums up what is known of the
-// others. A router that fell silent is taken to be gone: where it is only cut off, it can't reach our engines
-// either.
+// others. A router that fell silent is taken to be gone: if only cut off, it can't reach our engines either.
 func (b *Brain) report() {
 	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
 	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
-	if b.set.Peers && len(b.heard) > 1 && b.now >= b.tellAt {
+	// Both follow this router's own commands, or their cost would grow with the square of the fleet: so many
+	// bytes delivered and probes a command cost a quarter point. What can't be told while fresh is not told.
+	const bytes, probes = 64.0, 0.2
+	rate, n := 0.0, len(b.engines)
+	for k := range b.prof {
+		rate += b.prof[k].received.most(b.now) / min(max(b.now-b.began, 1), allowSpan)
+	}
+	if b.set.Peers && b.now >= b.tellAt && float64(6*n*(len(b.heard)-1)) <= bytes*rate*fresh/3 {
 		b.tellAt = b.now + tellEvery
 		b.message = b.pack(b.message)
 		b.host.Tell(-1, b.message)
 	}
 	b.share = 1 / float64(len(b.heard))
-	if alive, met := b.sumUp(b.now, fresh, 2*probeEvery); met {
-		b.share = 1 / float64(max(alive+1, 2)) // never all: it may only be this router that hears nothing
+	if gone, met := b.sumUp(b.now, fresh, 2*probeEvery); met {
+		b.share = 1 / float64(max(len(b.heard)-gone, 2)) // never all: it may only be this router that hears nothing
 	}
-	if n := len(b.engines); b.set.ProbeLoads && len(b.heard) > 1 && n > 0 && b.now >= b.probeAt {
-		b.probeAt = b.now + probeEvery/float64(n) // one by one, so that news does not come to all at once
+	if b.set.ProbeLoads && len(b.heard) > 1 && n > 0 && b.now >= b.probeAt {
+		b.probeAt = b.now + max(probeEvery/float64(n), 1/max(probes*rate, 0.1)) // one by one: news comes spread
 		b.next = (b.next + 1) % n
 		if e := &b.engines[b.next]; e.State == Ready {
 			b.host.Probe(e.Engine)
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -221,12 +221,14 @@
 }
 
 // sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the
-// former.
-func (p *pool) sumUp(now, heardFor, reportedFor float64) (alive int, met bool) {
+// routers that were heard once and are no longer.
+func (p *pool) sumUp(now, heardFor, reportedFor float64) (gone int, met bool) {
 	for _, at := range p.heard {
-		met = met || !math.IsInf(at, -1)
-		if now-at < heardFor {
-			alive++
+		if !math.IsInf(at, -1) {
+			met = true
+			if now-at >= heardFor {
+				gone++
+			}
 		}
 	}
 	for k := range p.engines {
@@ -236,12 +238,15 @@
 			e.others = e.rest
 		}
 		for r, at := range p.heard {
+			if !met {
+				break
+			}
 			if now-at < heardFor {
 				e.others += e.theirs[r]
 			}
 		}
 	}
-	return alive, met
+	return gone, met
 }
 
 // place is a free one among the engines.
