Places bind over the whole pool as well as on each engine

Cause: a router's share of one engine is far under a thread, and one command always fits where nothing of ours is; hundreds of routers filled every engine to its session limit (70 to 78% turned away). The pool's places, share x 1.7 a core, now bind under the same pressure. Where routers are few each engine's own places bind first. Harm: a router with much more traffic than others is held to an equal share.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,6 +23,7 @@
 
 	takes, further   window  // commands taken, and sends beyond each one's first
 	share, mark, cut float64 // of each engine for this router; cost mark of the lane; price the line gave up
+	all              engine  // what this router has on the engines that count, and their cores
 	outcome          Outcome
 	message          []byte
 	sheds, next      int // sheds since the last line in the log; engine to probe next
@@ -44,7 +45,6 @@
 
 const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
 
-// New makes the mind of one router.
 func New(set Settings, now float64, host Host) *Brain {
 	n := max(set.Routers, 1)
 	// Equal shares: what is known of the others' load, where it is, corrects the guess.
@@ -264,7 +264,7 @@
 
 // waitOf is the wait for the held work that leaves before a rank, over this router's places.
 func (b *Brain) waitOf(rank float64) float64 {
-	work, places := 0.0, 0.0
+	work := 0.0
 	for _, h := range b.cmds.held {
 		r := &b.cmds.rec[h]
 		if r.rank > rank {
@@ -272,12 +272,7 @@
 		}
 		work += float64(b.prof[r.Profile].Threads) * b.prof[r.Profile].read.mean()
 	}
-	for k := range b.engines {
-		if e := &b.engines[k]; e.State == Ready && !e.ill {
-			places += b.places(e)
-		}
-	}
-	return work / max(places, 1)
+	return work / max(b.places(&b.all), 1)
 }
 
 // learn keeps a profile's times, true work and bias.
@@ -363,6 +358,7 @@
 		b.further.most(b.now)+1 > b.set.BudgetFree+b.set.BudgetShare*b.takes.least(b.now) {
 		return -1
 	}
+	b.all = b.sum()
 	best, least := int32(-1), math.Inf(1)
 	n := len(b.engines)
 	for j := range n {
@@ -415,15 +411,19 @@
 	case e.ill:
 		// A trial is a short replayable command; where none comes for a second, any.
 		return !e.trial && b.now >= e.trialAt && (r.short && p.Effect == Replayable || b.now >= e.trialAt+1)
-	case !b.pressed(p, e) || e.threads == 0:
-		return true
-	case r.short:
+	}
+	// The pool's places bind too, or hundreds of routers with one command each would fill every engine.
+	return !b.pressed(p, e) || b.within(e, r.short, p.Threads) && b.within(&b.all, r.short, p.Threads)
+}
+
+// within: one command always fits, so that a share of less than a thread is of use.
+func (b *Brain) within(e *engine, short bool, threads int) bool {
+	t, places := float64(threads), b.places(e)
+	if short {
 		// Past full places, not without end, as crowded engines do less. Own threads: long commands can't close it.
-		const lane = 1.5
-		own := max(1, 0.6*e.cores*b.share)
-		return e.threads+float64(p.Threads) <= lane*b.places(e) || e.lane+float64(p.Threads) <= own
+		places = max(1.5*places, e.threads-e.lane+max(1, 0.6*e.cores*b.share))
 	}
-	return e.threads+float64(p.Threads) <= b.places(e)
+	return e.threads == 0 || e.threads+t <= places
 }
 
 // places of this router on an engine. One place a core would leave cores idle while threads read from disk.
@@ -440,11 +440,12 @@
 
 // pressed: answers of the profile come well above best there, or the threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
-	full := 1.5 * e.cores
+	full := 1.5   // threads a core
 	if !e.known { // others' load: twice an equal share, or many routers fill an engine before answers show it
 		full *= min(1, 2*b.share)
 	}
-	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= full
+	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= max(full*e.cores, 1) ||
+		!e.known && b.all.threads >= full*b.all.cores
 }
 
 // slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual,
@@ -625,8 +626,8 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: no answer or note for 0.6 s, and two sends far past
-// what they should take. Those that left before the last sign count after 3 s only.
+// silence finds engines that take work and answer nothing: no answer or note for 0.6 s, and two sends far
+// past what they should take. Those that left before the last sign count after 3 s only.
 func (b *Brain) silence() {
 	for k := range b.engines {
 		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -220,6 +220,16 @@
 	return threads, outs
 }
 
+// sum of what this router has and knows on the engines that count.
+func (p *pool) sum() (a engine) {
+	for k := range p.engines {
+		if e := &p.engines[k]; e.State == Ready && !e.ill {
+			a.cores, a.threads, a.lane, a.others = a.cores+e.cores, a.threads+e.threads, a.lane+e.lane, a.others+e.others
+		}
+	}
+	return a
+}
+
 // sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the
 // routers that were heard once and are no longer.
 func (p *pool) sumUp(now, heardFor, reportedFor float64) (gone int, met bool) {
