Where others' load is unknown, a fixed draw by cores stands for it in the choice

Also catches: any deployment of mixed machines without load reports. Harm: a router of much traffic may start on an engine that others fill too.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,8 @@
 	slow           float64 // usual slowdown: processing time over work per thread
 }
 
-type tenant struct{ left, at float64 } // a bucket of what its quota still allows
+// tenant is a bucket of what its quota allows, a second's at most; the excess is worth little and goes last.
+type tenant struct{ left, at float64 }
 
 const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
 
@@ -125,7 +126,6 @@
 	r.took, r.dueBy, r.worth, r.level = b.now, b.now+r.TimeLeft, p.Benefit, 1
 	b.takes.add(b.now, 1)
 	if r.Tenant < len(b.tenants) {
-		// A tenant over its quota is worth little: its excess goes last. The bucket holds one second.
 		t, rate := &b.tenants[r.Tenant], b.set.Tenants[r.Tenant].QuotaPerS*b.share
 		t.left, t.at = min(t.left+(b.now-t.at)*rate, max(rate, 1)), b.now
 		if t.left < 1 {
@@ -134,8 +134,7 @@
 			t.left--
 		}
 	}
-	// The work to expect: the estimate with the profile's bias taken out, else what is usual.
-	switch r.cost = r.Cost; {
+	switch r.cost = r.Cost; { // the estimate with the profile's bias taken out, else what is usual
 	case r.Cost <= 0:
 		r.cost = p.usual()
 	case p.hinted > 0:
@@ -181,7 +180,6 @@
 	b.over(i)
 }
 
-// over stops paying for work that nobody waits for.
 func (b *Brain) over(i int32) {
 	b.cmds.rec[i].done = true
 	b.cmds.unhold(i)
@@ -229,7 +227,7 @@
 func (b *Brain) admit(i int32) bool {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
-	const allowance = 0.03 // A, the paper's upper value: keeps histograms filled and costs little
+	const allowance = 0.03 // A, the paper's upper value
 	got, let := p.received.most(b.now), p.let.most(b.now)
 	ok := got == 0 || let/got < allowance || b.inTime(r, p) || b.rnd.float() < allowance
 	p.received.add(b.now, 1)
@@ -284,9 +282,8 @@
 	p.slow += 0.05 * (slow - p.slow)
 }
 
-// meet averages the work, over some hundred at the most.
 func (p *profile) meet(work float64) {
-	p.seen = min(p.seen+1, 100)
+	p.seen = min(p.seen+1, 100) // an average over some hundred at the most
 	p.work += (work - p.work) / p.seen
 }
 
@@ -360,19 +357,23 @@
 	}
 	b.all = b.sum()
 	best, least := int32(-1), math.Inf(1)
-	n := len(b.engines)
-	for j := range n {
-		k := (j + b.set.Me) % n // routers start at different engines, so that ties do not meet
+	for k := range b.engines {
 		e := &b.engines[k]
 		if !b.allowed(r, p, e) || !b.fits(r, p, e) {
 			continue
 		}
-		s := (e.threads + e.others + float64(p.Threads)) / e.cores * b.slowOf(e)
+		s := e.threads + e.others + float64(p.Threads)
+		if !e.known {
+			// Chance stands for the others' threads, or all would send to the larger engines first. It is drawn
+			// once: a router keeps to engines that it knows, and many routers together follow the cores.
+			s += (1 - b.share) * (e.chance - float64(p.Threads))
+		}
+		s *= b.slowOf(e) / e.cores
 		if e.Zone != b.set.Zone {
 			s += 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
 		}
-		if int32(k) == r.avoid {
-			s += 1000 // any other engine first
+		if int32(k) == r.avoid { // any other engine first
+			s += 1000
 		}
 		if s < least {
 			best, least = int32(k), s
@@ -515,8 +516,8 @@
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
-	// A time-out counts at its age where answers are slow, or the histogram would hold only the lucky; else the
-	// answer was lost, and refusing mends nothing. Ill and cold engines are left out.
+	// A time-out counts where answers are slow, or only the lucky would; else the answer was lost, and refusing
+	// mends nothing. Ill and cold engines are left out.
 	if (o.End == Answered || o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove) && !e.ill && !b.isCold(e) {
 		p.fill.add(o.Lag)
 	}
@@ -544,8 +545,7 @@
 		if e.fails += weight * (1 - e.fails); e.fails > 0.25 || e.ill || o.End == Unreachable {
 			b.doubt(e, "fails what it is sent")
 		}
-	case TurnedAway:
-		// Full: a short rest, or what it turns away comes straight back and the storm feeds itself.
+	case TurnedAway: // full: a short rest, or what it turns away comes straight back and the storm feeds itself
 		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 2), b.now, b.now+0.1
 	}
 	if o.End == TimedOut && e.ill {
@@ -606,8 +606,7 @@
 	b.flush()
 }
 
-// swap turns the buffers over. A part of the old is carried on, more where thin: one odd command in twenty
-// puts the 90th percentile past the time left, and the whole profile is refused for seconds.
+// swap turns the buffers over. Part of the old is carried on, more where thin: one odd command moves p90.
 func (b *Brain) swap() {
 	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
 	b.swapAt += 2                                // seconds, the design page's
@@ -667,12 +666,14 @@
 		if e.cores = 1; e.Kind < len(b.set.KindCores) && b.set.KindCores[e.Kind] > 0 {
 			e.cores = b.set.KindCores[e.Kind]
 		}
+		const some = 4 // threads: about what the number of others' on an engine varies by
+		e.chance = -some * math.Log(1-b.rnd.float())
 		e.cold = newWindow(max(b.set.FallWindow, 0.001), 10)
 	})
 	b.flush()
 }
 
-// Note tells of a send that is out. One far behind a fresh start, and too late at its pace, is started again
+// Note tells of a send that is out. One far behind a fresh start, and too late at its pace, starts again
 // elsewhere, once: a bad plan, a slow engine, or spilling. Harm: where the estimate was the fault.
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
@@ -698,8 +699,7 @@
 	if k, ok := b.index[id]; ok && load != nil && load.Held >= 0 {
 		threads, outs := b.sums() // others' commands are taken to be like ours
 		e := &b.engines[k]
-		// An average: all routers would rush to the engine that one old report shows emptiest.
-		const weight = 0.3
+		const weight = 0.3 // an average: all routers would rush to the engine that one old report shows emptiest
 		e.rest += weight * (max(load.Held-float64(e.outs), 0)*(threads+1)/(outs+1) - e.rest)
 		e.restAt = now
 	}
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -179,6 +179,7 @@
 	restAt  float64
 	others  float64 // threads of all others, as far as that is known
 	known   bool
+	chance  float64 // stands for them where it is not
 }
 
 func (e *engine) load(short bool, threads float64) {
