Cold engines take whole commands from routers in turn

Cause: one router's equal share of a cold engine's window was far under one command, so that with hundreds of routers a replaced engine got nothing until it was warm. Now the budget since its start is cut into commands of the lane's size, each one router's for half a window; all together stay within one and a half of a budget with margin a half, whatever their traffic. Acts only where the equal share is under the lane's cost mark. Harm: reports still wait until the engine is warm. Walking the chain moved to chain.go: no decision.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -72,25 +72,13 @@
 
 // ---- the chain
 
-const pass, keep, ended = true, false, false // a stage passes a command on, keeps it or ends it
-
-type stage struct {
-	down func(*Brain, int32) bool
-	up   func(*Brain, int32, *Outcome) bool
-}
-
 var chain []stage
 
-func init() { // not a literal: the stages call each other through it
+func init() { // not a literal: the stages call each other through it (chain.go walks it)
 	chain = []stage{{(*Brain).take, (*Brain).answer}, {(*Brain).admit, (*Brain).again},
 		{(*Brain).order, (*Brain).settle}, {(*Brain).place, (*Brain).judge}}
 }
 
-func (b *Brain) down(i int32, from int) {
-	for s := from; s < len(chain) && chain[s].down(b, i); s++ {
-	}
-}
-
 // Command takes one try of a client. From here on it is owed one answer.
 func (b *Brain) Command(now float64, c Command) {
 	b.now = now
@@ -106,18 +94,6 @@
 	b.flush()
 }
 
-// flush sends on held commands that find a place now.
-func (b *Brain) flush() {
-	const order = 2 // the stage below admit
-	for k := 0; k < len(b.cmds.held); {
-		i := b.cmds.held[k]
-		b.down(i, order)
-		if k < len(b.cmds.held) && b.cmds.held[k] == i {
-			k++
-		}
-	}
-}
-
 // ---- take: one answer for each command, before its client timeout (rule 1)
 
 func (b *Brain) take(i int32) bool {
@@ -366,7 +342,11 @@
 		if !e.known {
 			// Chance stands for the others' threads, or all would send to the larger engines first. It is drawn
 			// once: a router keeps to engines that it knows, and many routers together follow the cores.
-			s += (1 - b.share) * (e.chance - float64(p.Threads))
+			chance := e.chance
+			if b.isCold(e) {
+				chance = 0 // its budget holds the others back, and a turn left out is lost
+			}
+			s += (1 - b.share) * (chance - float64(p.Threads))
 		}
 		s *= b.slowOf(e) / e.cores
 		if e.Zone != b.set.Zone {
@@ -392,14 +372,26 @@
 	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <= b.coldBudget(e)
 }
 
-// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told:
-// a late one is assumed, from the start's capacity by the square of the age. The margin covers a slow engine,
-// routers not yet told, and a burst at the start.
+// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told: a
+// late one is assumed, from the start's capacity by the square of the age. The margin covers a slow engine,
+// routers not yet told, and a burst at the start. A share under one command of the lane comes in turns: the
+// engine's budget since its start is cut into commands, each one router's, who has half a window for it. All
+// together then send at most the budget of one and a half windows in any one, however unequal their traffic.
 func (b *Brain) coldBudget(e *engine) float64 {
 	const margin = 0.5
-	age := (b.now - e.ReadyAt) / b.set.WarmUp
-	capacity := e.cores * (b.set.ColdFrom + (1-b.set.ColdFrom)*age*age)
-	return b.set.FallMultiple * capacity * b.set.FallWindow * margin / float64(b.set.Routers)
+	all := b.set.FallMultiple * e.cores * margin
+	since := func(age float64) float64 { // the budget up to an age
+		age = max(age, 0)
+		return all * (b.set.ColdFrom*age + (1-b.set.ColdFrom)*age*age*age/(3*b.set.WarmUp*b.set.WarmUp))
+	}
+	age, n := b.now-e.ReadyAt, float64(b.set.Routers)
+	rest := age / b.set.WarmUp
+	if share := all * (b.set.ColdFrom + (1-b.set.ColdFrom)*rest*rest) * b.set.FallWindow / n; share >= b.mark {
+		return share
+	}
+	first := float64((uint32(b.set.Me) + e.Engine) % uint32(b.set.Routers)) // another router at each engine
+	turns := func(age float64) float64 { return math.Floor((since(age)/b.mark - first) / n) }
+	return (turns(age) - turns(age-b.set.FallWindow/2)) * b.mark
 }
 
 func (b *Brain) isCold(e *engine) bool { return e.ReadyAt > 0 && b.now < e.ReadyAt+b.set.WarmUp }
