Tenant buckets hold five commands at least and start full

Acts where one second's share of the quota is under five commands. Harm: a tenant's burst shows some commands later at each router.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,7 @@
 	slow           float64 // usual slowdown: processing time over work per thread
 }
 
-// tenant is a bucket of what its quota allows, a second's at most; the excess is worth little and goes last.
+// tenant is a bucket of what its quota allows; the excess is worth little and goes last.
 type tenant struct{ left, at float64 }
 
 const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
@@ -59,8 +59,8 @@
 			fill: newHistogram(0.001, 300, 1.15), received: newWindow(allowSpan, 20), let: newWindow(allowSpan, 20)})
 		b.mark = min(b.mark, p.Target*markShare)
 	}
-	for _, t := range set.Tenants {
-		b.tenants = append(b.tenants, tenant{left: t.QuotaPerS * b.share, at: now})
+	for range set.Tenants {
+		b.tenants = append(b.tenants, tenant{left: math.Inf(1), at: now})
 	}
 	b.takes, b.further = newWindow(max(set.BudgetWindow, 1), 50), newWindow(max(set.BudgetWindow, 1), 50)
 	if set.Ask {
@@ -103,7 +103,8 @@
 	b.takes.add(b.now, 1)
 	if r.Tenant < len(b.tenants) {
 		t, rate := &b.tenants[r.Tenant], b.set.Tenants[r.Tenant].QuotaPerS*b.share
-		t.left, t.at = min(t.left+(b.now-t.at)*rate, max(rate, 1)), b.now
+		const depth = 5 // commands: a small share's ordinary chance clusters are no excess; else one second's quota
+		t.left, t.at = min(t.left+(b.now-t.at)*rate, max(rate, depth)), b.now
 		if t.left < 1 {
 			r.worth *= b.set.OverShareBenefit
 		} else {
