Places by the router's own long-run traffic; slowdown by work; no probes that would be stale

Causes: where most routers carry little and some far more, an equal share of places held the busy ones back; many tiny commands, mostly delay, read as a crowd; with a probe a second over dozens of engines a few reports mixed with unknown engines and the pool's sum took them for all. Harm: after a lasting change of traffic between routers places follow within most of a minute only.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,7 +26,8 @@
 	all              engine  // what this router has on the engines that count, and their cores
 	outcome          Outcome
 	message          []byte
-	sheds, next      int // sheds since the last line in the log; engine to probe next
+	asked, span      float64 // work of the commands taken, fading, and the seconds it stands for
+	sheds, next      int     // sheds since the last line in the log; engine to probe next
 
 	began, swapAt, logAt, tellAt, probeAt, watchAt float64
 }
@@ -47,10 +48,10 @@
 const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
 
 func New(set Settings, now float64, host Host) *Brain {
-	n := max(set.Routers, 1)
-	// Equal shares: what is known of the others' load, where it is, corrects the guess.
-	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(), pool: newPool(n),
-		share: 1 / float64(n), mark: math.Inf(1), cut: math.Inf(1), swapAt: now, began: now, watchAt: math.Inf(1)}
+	set.Routers = max(set.Routers, 1)
+	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(),
+		pool: newPool(set.Routers), share: 1 / float64(set.Routers), mark: math.Inf(1), cut: math.Inf(1),
+		swapAt: now, began: now, watchAt: math.Inf(1)}
 	const markShare = 0.5 // the short lane leaves half the tightest target for crowding
 	for _, p := range set.Profiles {
 		p.Threads = max(p.Threads, 1)
@@ -119,6 +120,9 @@
 	default:
 		p.meet(r.Cost) // no answer yet: a cold engine's budget needs some measure
 	}
+	if !r.Retry {
+		b.asked += p.usual()
+	}
 	r.best = r.cost / float64(p.Threads)
 	r.aim = r.took + p.Target + p.Stretch*r.best
 	r.short = r.best <= b.mark && r.worth == p.Benefit
@@ -256,7 +260,7 @@
 		p.hinted, p.worked = p.hinted*0.99+r.Cost, p.worked*0.99+work
 	}
 	p.meet(work)
-	p.slow += 0.05 * (slow - p.slow)
+	p.slow += 0.05 * min(work/max(p.work, 0.001), 3) * (slow - p.slow) // by work: tiny ones are mostly delay
 }
 
 func (p *profile) meet(work float64) {
@@ -275,9 +279,8 @@
 // again holds a command for a further send, where rules and time allow one.
 func (b *Brain) again(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
-	p := &b.prof[r.Profile]
 	if r.done || r.out.engine >= 0 || b.now+r.best > r.dueBy ||
-		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends || !b.mayRepeat(r, p) {
+		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends || !b.mayRepeat(r, &b.prof[r.Profile]) {
 		return pass
 	}
 	b.cmds.hold(i)
@@ -295,11 +298,9 @@
 
 func (b *Brain) order(i int32) bool {
 	r := &b.cmds.rec[i]
-	if b.inOrder(r) {
-		if l := b.cmds.keys[r.Key]; l.head != i || b.now < l.until {
-			b.cmds.hold(i)
-			return keep
-		}
+	if l := b.cmds.keys[r.Key]; b.inOrder(r) && (l.head != i || b.now < l.until) {
+		b.cmds.hold(i)
+		return keep
 	}
 	return pass
 }
@@ -373,11 +374,10 @@
 	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <= b.coldBudget(e)
 }
 
-// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told: a
-// late one is assumed, from the start's capacity by the square of the age. The margin covers a slow engine,
-// routers not yet told, and a burst at the start. A share under one command of the lane comes in turns: the
-// engine's budget since its start is cut into commands, each one router's, who has half a window for it. All
-// together then send at most the budget of one and a half windows in any one, however unequal their traffic.
+// coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told;
+// a late one is assumed, by the square of the age. The margin covers a slow engine, routers not yet told and
+// a burst at the start. A share under one command of the lane comes in turns: the budget since its start is cut
+// into commands, each one router's for half a window, so that all together stay in one and a half of it.
 func (b *Brain) coldBudget(e *engine) float64 {
 	const margin = 0.5
 	all := b.set.FallMultiple * e.cores * margin
@@ -550,11 +550,9 @@
 // doubt stops ordinary sends to an engine; single trials find out when it is back.
 func (b *Brain) doubt(e *engine, why string) {
 	const first, longest = 0.5, 3.0 // some round trips; short against the shortest troubles
-	if !e.ill {
+	if e.pause = min(e.pause*1.5, longest); !e.ill {
 		e.ill, e.pause = true, first
 		b.log("engine %d %s: one trial at a time", e.Engine, why)
-	} else {
-		e.pause = min(e.pause*1.5, longest)
 	}
 	e.fails = max(e.fails, 0.4)
 	e.trialAt = b.now + e.pause
@@ -601,16 +599,15 @@
 
 // swap turns the buffers over. Part of the old is carried on, more where thin: one odd command moves p90.
 func (b *Brain) swap() {
-	const carry, thin, carryThin = 0.5, 150, 0.9 // a common profile shows a change within two swaps
-	b.swapAt += 2                                // seconds, the design page's
+	const carry, thin, carryThin = 0.5, 150, 0.9  // a common profile shows a change within two swaps
+	b.swapAt += 2                                 // seconds, the design page's
+	b.asked, b.span = b.asked*0.96, b.span*0.96+2 // fades over most of a minute
 	for k := range b.prof {
 		p := &b.prof[k]
 		p.read, p.fill = p.fill, p.read
-		share := carry
-		if p.read.n < thin {
-			share = carryThin
+		if p.fill.copyScaled(&p.read, carry); p.read.n < thin {
+			p.fill.copyScaled(&p.read, carryThin)
 		}
-		p.fill.copyScaled(&p.read, share)
 	}
 	if b.sheds > 0 && b.now >= b.logAt {
 		b.log("shed %d commands, %d held", b.sheds, len(b.cmds.held))
@@ -618,8 +615,8 @@
 	}
 }
 
-// silence finds engines that take work and answer nothing: no answer or note for 0.6 s, and two sends far
-// past what they should take. Those that left before the last sign count after 3 s only.
+// silence finds engines that answer nothing: no answer or note for 0.6 s, and two sends far past what they
+// should take. Those that left before the last sign count after 3 s only.
 func (b *Brain) silence() {
 	for k := range b.engines {
 		b.engines[k].overdue, b.engines[k].short = 0, math.Inf(1)
@@ -631,7 +628,6 @@
 			if s.at >= e.sign || b.now-e.sign > 3 {
 				e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
 			} else if !s.lost && b.now-s.at > 6*s.expect+1 {
-				// Its answer is likely lost, as later ones came: it no longer takes a place.
 				s.lost = true
 				e.load(r.short, -float64(b.prof[r.Profile].Threads))
 			}
@@ -666,7 +662,7 @@
 	b.flush()
 }
 
-// Note tells of a send that is out. One far behind a fresh start, and too late at its pace, starts again
+// Note tells of a send that is out. One far behind a fresh start and too late at its pace starts again
 // elsewhere, once: a bad plan, a slow engine, or spilling. Harm: where the estimate was the fault.
 func (b *Brain) Note(now float64, n Note) {
 	b.now = now
@@ -686,7 +682,7 @@
 	}
 }
 
-// Probed is the answer to a probe; a load report in it tells what the other routers have there.
+// Probed answers a probe; a load report in it tells what the other routers have there.
 func (b *Brain) Probed(now float64, id uint32, _ End, _ float64, load *Load) {
 	b.now = now
 	if k, ok := b.index[id]; ok && load != nil && load.Held >= 0 {
@@ -707,13 +703,13 @@
 	}
 }
 
-// report tells the other routers our load, asks engines that report theirs, and sums up what is known of the
-// others. A router that fell silent is taken to be gone: if only cut off, it can't reach our engines either.
+// report tells the other routers our load, asks engines for theirs, and sums up what is known of the others.
+// A router that fell silent is taken to be gone: if only cut off, it can't reach our engines either.
 func (b *Brain) report() {
 	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
 	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
 	// Both follow this router's own commands, or their cost would grow with the square of the fleet: so many
-	// bytes delivered and probes a command cost a quarter point. What can't be told while fresh is not told.
+	// bytes and probes a command cost a quarter point. What can't be told or asked while fresh is left out.
 	const bytes, probes = 64.0, 0.2
 	rate, n := 0.0, len(b.engines)
 	for k := range b.prof {
@@ -728,8 +724,14 @@
 	if gone, met := b.sumUp(b.now, fresh, 2*probeEvery); met {
 		b.share = 1 / float64(max(len(b.heard)-gone, 2)) // never all: it may only be this router that hears nothing
 	}
-	if b.set.ProbeLoads && len(b.heard) > 1 && n > 0 && b.now >= b.probeAt {
-		b.probeAt = b.now + max(probeEvery/float64(n), 1/max(probes*rate, 0.1)) // one by one: news comes spread
+	if b.all = b.sum(); !b.all.known && b.all.cores > 0 {
+		// Exception: an equal share holds back a router of more traffic than most. What it is asked for in the long
+		// run, of what the pool can do, is its part; less an equal share, since overload raises it for all.
+		b.share = min(max(b.share, b.asked/max(b.span, allowSpan)/b.all.cores-1*b.share), 1)
+	}
+	if b.set.ProbeLoads && len(b.heard) > 1 && b.now >= b.probeAt && n > 0 &&
+		float64(n) <= 2*probeEvery*probes*rate {
+		b.probeAt = b.now + max(probeEvery/float64(n), 1/(probes*rate)) // one by one: news comes spread
 		b.next = (b.next + 1) % n
 		if e := &b.engines[b.next]; e.State == Ready {
 			b.host.Probe(e.Engine)
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -225,6 +225,7 @@
 func (p *pool) sum() (a engine) {
 	for k := range p.engines {
 		if e := &p.engines[k]; e.State == Ready && !e.ill {
+			a.known = a.known || e.known
 			a.cores, a.threads, a.lane, a.others = a.cores+e.cores, a.threads+e.threads, a.lane+e.lane, a.others+e.others
 		}
 	}
