The lane keeps a full set of places over the pool, and zones are crossed while answers are slow

Now the lane's own part over the pool is a full set of places and one command at least; and where loads are unknown the price of crossing falls to nothing while the profile's answers are slow by half.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -86,7 +86,6 @@
 	b.down(b.cmds.take(c), 0)
 }
 
-// Outcome is the end of a send.
 func (b *Brain) Outcome(now float64, o Outcome) {
 	b.now, b.outcome = now, o // kept here, since a pointer into the chain would put it on the heap
 	i, ok := b.cmds.at[o.ID]
@@ -132,8 +131,7 @@
 	if b.inOrder(r) {
 		b.cmds.enlist(i)
 	}
-	// The answer leaves two ticks before the client gives up, since a wake may come a tick late.
-	b.host.Wake(max(r.TimeLeft-2*b.set.Tick, 0), uint64(r.ID)|1<<32)
+	b.host.Wake(max(r.TimeLeft-2*b.set.Tick, 0), uint64(r.ID)|1<<32) // two ticks: a wake may come one late
 	return pass
 }
 
@@ -186,7 +184,6 @@
 	}
 }
 
-// Left tells that the client went away.
 func (b *Brain) Left(now float64, id uint32) {
 	b.now = now
 	if i, ok := b.cmds.at[id]; ok && !b.cmds.rec[i].done {
@@ -254,7 +251,6 @@
 	return work / max(b.places(&b.all), 1)
 }
 
-// learn keeps a profile's times, true work and bias.
 func (p *profile) learn(r *record, o *Outcome, work, slow float64) {
 	if o.Work > 0 && r.Cost > 0 { // sums fade over some hundred answers: the bias is the profile's and steady
 		p.hinted, p.worked = p.hinted*0.99+r.Cost, p.worked*0.99+work
@@ -268,7 +264,7 @@
 	p.work += (work - p.work) / p.seen
 }
 
-// usual work; before anything is known, what would leave half the target for crowding.
+// usual work; before anything is known, half the target.
 func (p *profile) usual() float64 {
 	if p.seen == 0 {
 		return p.Target / 2 * float64(p.Threads)
@@ -352,7 +348,11 @@
 		}
 		s *= b.slowOf(e) / e.cores
 		if e.Zone != b.set.Zone {
-			s += 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
+			cross := 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
+			if !e.known {
+				cross *= min(max(3-2*p.slow, 0), 1) // not while answers, mostly from here, are slow by half
+			}
+			s += cross
 		}
 		if int32(k) == r.avoid { // any other engine first
 			s += 1000
@@ -376,8 +376,8 @@
 
 // coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told;
 // a late one is assumed, by the square of the age. The margin covers a slow engine, routers not yet told and
-// a burst at the start. A share under one command of the lane comes in turns: the budget since its start is cut
-// into commands, each one router's for half a window, so that all together stay in one and a half of it.
+// a burst at the start. A share under one command of the lane comes in turns: the budget since its start is
+// cut into commands, each one router's for half a window: all together stay in one and a half of it.
 func (b *Brain) coldBudget(e *engine) float64 {
 	const margin = 0.5
 	all := b.set.FallMultiple * e.cores * margin
@@ -415,7 +415,11 @@
 	t, places := float64(threads), b.places(e)
 	if short {
 		// Past full places, not without end, as crowded engines do less. Own threads: long commands can't close it.
-		places = max(1.5*places, e.threads-e.lane+max(1, 0.6*e.cores*b.share))
+		own := 0.6 * e.cores * b.share
+		if e == &b.all { // over the pool a full set: an engine's end binds before it where routers are few
+			own = places
+		}
+		places = max(1.5*places, e.threads-e.lane+max(t, own))
 	}
 	return e.threads == 0 || e.threads+t <= places
 }
@@ -528,8 +532,7 @@
 		was := b.slowOf(e)
 		e.slow, e.slowAt = was+0.3*work/(work+0.5)*(slow/max(p.slow, 0.1)-was), b.now
 		if e.ill {
-			e.fails *= 0.5
-			if e.fails < 0.1 {
+			if e.fails *= 0.5; e.fails < 0.1 {
 				e.ill = false
 				b.log("engine %d answers again", e.Engine)
 			}
@@ -540,9 +543,10 @@
 		}
 	case TurnedAway: // full: a short rest, or what it turns away comes straight back and the storm feeds itself
 		e.slow, e.slowAt, e.fullTo = max(b.slowOf(e), 2), b.now, b.now+0.1
-	}
-	if o.End == TimedOut && e.ill {
-		b.doubt(e, "does not answer")
+	case TimedOut:
+		if e.ill {
+			b.doubt(e, "does not answer")
+		}
 	}
 	return pass
 }
@@ -640,9 +644,6 @@
 	}
 }
 
-// ---- what is heard
-
-// Members is the list of engines.
 func (b *Brain) Members(now float64, scope Scope, list []Entry) {
 	b.now = now
 	if scope == FailedAsk {
@@ -694,7 +695,6 @@
 	}
 }
 
-// Peer is another router's word on its load.
 func (b *Brain) Peer(now float64, from int, data []byte) {
 	b.now = now
 	if from >= 0 && from < len(b.heard) && from != b.set.Me {
