A held command is given up when late at the others' part of the usual slowdown

Cause: with hundreds of routers held commands were sent at their last moment as if the engines were free, and came late: a quarter to a third late beside as many refused.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -125,9 +125,8 @@
 	r.best = r.cost / float64(p.Threads)
 	r.aim = r.took + p.Target + p.Stretch*r.best
 	r.short = r.best <= b.mark && r.worth == p.Benefit
-	const ageing = 0.05 // cheapest per benefit first; a second of waiting makes up for that much of it
 	r.price = r.cost / max(r.worth, 1e-9)
-	r.rank = r.price + ageing*r.took
+	r.rank = r.price + 0.05*r.took // cheapest per benefit first; a second of waiting makes up for 0.05 of it
 	if b.inOrder(r) {
 		b.cmds.enlist(i)
 	}
@@ -217,7 +216,7 @@
 	return pass
 }
 
-// inTime compares both estimates with both targets, and the wait with the moment a held command is given up.
+// inTime compares both estimates with both targets, and the wait with the moment of giving up.
 func (b *Brain) inTime(r *record, p *profile) bool {
 	if p.read.n < 20 { // the design page's
 		return true
@@ -413,8 +412,7 @@
 // within: one command always fits, so that a share of less than a thread is of use.
 func (b *Brain) within(e *engine, short bool, threads int) bool {
 	t, places := float64(threads), b.places(e)
-	if short {
-		// Past full places, not without end, as crowded engines do less. Own threads: long commands can't close it.
+	if short { // past full places, but not without end; long commands can't close its own threads
 		own := 0.6 * e.cores * b.share
 		if e == &b.all { // over the pool a full set: an engine's end binds before it where routers are few
 			own = places
@@ -551,7 +549,7 @@
 	return pass
 }
 
-// doubt stops ordinary sends to an engine; single trials find out when it is back.
+// doubt stops ordinary sends; single trials find out when the engine is back.
 func (b *Brain) doubt(e *engine, why string) {
 	const first, longest = 0.5, 3.0 // some round trips; short against the shortest troubles
 	if e.pause = min(e.pause*1.5, longest); !e.ill {
@@ -589,8 +587,10 @@
 	b.report()
 	for k := 0; k < len(b.cmds.held); {
 		i := b.cmds.held[k]
-		// A held command that can no longer be in time is given up, and told so now.
-		if r := &b.cmds.rec[i]; now+r.best > min(r.aim, r.dueBy) {
+		// A held command that can no longer be in time is given up, and told so now; late at the usual slowdown as
+		// far as that is the others' doing, since it will not go away when this router holds less.
+		r := &b.cmds.rec[i]
+		if now+r.best*(1+(1-b.share)*max(b.prof[r.Profile].slow-1, 0)) > min(r.aim, r.dueBy) {
 			b.cut = min(b.cut, r.price)
 			b.finish(i)
 			continue
