--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,13 +26,14 @@
 	all              engine  // what this router has on the engines that count, and their cores
 	outcome          Outcome
 	message          []byte
+	slowest          float64 // slowdown of the profile that has the most: a rare one's own news is old
 	asked, span      float64 // work of the commands taken, fading, and the seconds it stands for
 	sheds, next      int     // sheds since the last line in the log; engine to probe next
 
 	began, swapAt, logAt, tellAt, probeAt, watchAt float64
 }
 
-// profile is a row of the table of profiles.
+// profile is a row of the table.
 type profile struct {
 	Profile
 	read, fill     histogram // processing times: one is read while the other fills
@@ -56,18 +57,19 @@
 	for _, p := range set.Profiles {
 		p.Threads = max(p.Threads, 1)
 		// Buckets from 1 ms to 5 min, each 15% wider: finer than the estimates that they are compared with.
+		// Before anything is known the work is what would leave half the target for crowding.
 		b.prof = append(b.prof, profile{Profile: p, read: newHistogram(0.001, 300, 1.15), slow: 1,
-			fill: newHistogram(0.001, 300, 1.15), received: newWindow(allowSpan, 20), let: newWindow(allowSpan, 20)})
+			fill: newHistogram(0.001, 300, 1.15), received: newWindow(allowSpan, 20), let: newWindow(allowSpan, 20),
+			work: p.Target / 2 * float64(p.Threads)})
 		b.mark = min(b.mark, p.Target*markShare)
 	}
 	for range set.Tenants {
 		b.tenants = append(b.tenants, tenant{left: math.Inf(1), at: now})
 	}
 	b.takes, b.further = newWindow(max(set.BudgetWindow, 1), 50), newWindow(max(set.BudgetWindow, 1), 50)
-	if set.Ask {
+	if host.Wake(0, 0); set.Ask {
 		host.Watch(true)
 	}
-	host.Wake(0, 0)
 	return b
 }
 
@@ -113,14 +115,14 @@
 	}
 	switch r.cost = r.Cost; { // the estimate with the profile's bias taken out, else what is usual
 	case r.Cost <= 0:
-		r.cost = p.usual()
+		r.cost = p.work
 	case p.hinted > 0:
 		r.cost *= p.worked / p.hinted
 	default:
 		p.meet(r.Cost) // no answer yet: a cold engine's budget needs some measure
 	}
 	if !r.Retry {
-		b.asked += p.usual()
+		b.asked += p.work
 	}
 	r.best = r.cost / float64(p.Threads)
 	r.aim = r.took + p.Target + p.Stretch*r.best
@@ -148,8 +150,8 @@
 func (b *Brain) finish(i int32) {
 	r := &b.cmds.rec[i]
 	p := &b.prof[r.Profile]
-	at, risk := r.firstRisk()
-	if p.Effect == Replayable || !risk || p.Effect == Uniqued && p.Group == GroupAll && b.now < at+p.Window {
+	if at, risk := r.firstRisk(); p.Effect == Replayable || !risk ||
+		p.Effect == Uniqued && p.Group == GroupAll && b.now < at+p.Window {
 		b.sheds++
 		b.host.Shed(r.ID, b.set.MaxPause/2) // half of what clients honour: most do, and the rest spreads them
 	} else {
@@ -263,14 +265,6 @@
 	p.work += (work - p.work) / p.seen
 }
 
-// usual work; before anything is known, half the target.
-func (p *profile) usual() float64 {
-	if p.seen == 0 {
-		return p.Target / 2 * float64(p.Threads)
-	}
-	return p.work
-}
-
 // again holds a command for a further send, where rules and time allow one.
 func (b *Brain) again(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
@@ -347,9 +341,9 @@
 		}
 		s *= b.slowOf(e) / e.cores
 		if e.Zone != b.set.Zone {
-			cross := 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
-			if !e.known {
-				cross *= min(max(3-2*p.slow, 0), 1) // not while answers, mostly from here, are slow by half
+			cross := 0.2  // elsewhere must be this much emptier: crossing has a small price and delay
+			if !e.known { // not while answers, mostly from here, are slow by half
+				cross *= min(max(3-2*b.slowest, 0), 1)
 			}
 			s += cross
 		}
@@ -370,7 +364,7 @@
 			p.Group == GroupCell && e.Cell != r.ranCell) {
 		return false
 	}
-	return !b.isCold(e) || e.cold.most(b.now)+p.usual() <= b.coldBudget(e)
+	return !b.isCold(e) || e.cold.most(b.now)+p.work <= b.coldBudget(e)
 }
 
 // coldBudget is this router's share of what a cold engine takes in one window (rule 4). The ramp is not told;
@@ -434,14 +428,15 @@
 // wellAbove is the slowdown over best from which an engine is pressed.
 const wellAbove = 1.8
 
-// pressed: answers of the profile come well above best there, or the threads known of fill the cores.
+// pressed: answers come well above best there, any profile's far above, or threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
 	full := 1.5   // threads a core
 	if !e.known { // others' load: twice an equal share, or many routers fill an engine before answers show it
 		full *= min(1, 2*b.share)
 	}
-	return p.slow*b.slowOf(e) > wellAbove || e.threads+e.others >= max(full*e.cores, 1) ||
-		!e.known && b.all.threads >= full*b.all.cores
+	return max(p.slow*b.slowOf(e), b.slowest/1.4) > wellAbove || // 1.4: tiny ones run at 2 on quiet days
+		e.threads+e.others >= max(full*e.cores, 1) ||
+		!e.known && b.all.threads+float64(p.Threads) > full*b.all.cores
 }
 
 // slowOf is the learned slowdown against other engines; it compares answers with their own profile's usual,
@@ -466,7 +461,7 @@
 	e.load(r.short, float64(p.Threads))
 	e.trial = e.ill
 	if b.isCold(e) {
-		e.cold.add(b.now, p.usual())
+		e.cold.add(b.now, p.work)
 	}
 	level := 1
 	if r.short {
@@ -500,11 +495,10 @@
 	}
 	r.out.engine = -1
 	e := &b.engines[s.engine]
-	e.outs--
+	e.outs, e.trial = e.outs-1, false
 	if !s.lost {
 		e.load(r.short, -float64(p.Threads))
 	}
-	e.trial = false
 	if o.End != Answered {
 		r.avoid = s.engine
 		if !o.End.NeverRan() && !r.mayRun {
@@ -689,8 +683,8 @@
 	if k, ok := b.index[id]; ok && load != nil && load.Held >= 0 {
 		threads, outs := b.sums() // others' commands are taken to be like ours
 		e := &b.engines[k]
-		const weight = 0.3 // an average: all routers would rush to the engine that one old report shows emptiest
-		e.rest += weight * (max(load.Held-float64(e.outs), 0)*(threads+1)/(outs+1) - e.rest)
+		// An average: all routers would rush to the engine that one old report shows emptiest.
+		e.rest += 0.3 * (max(load.Held-float64(e.outs), 0)*(threads+1)/(outs+1) - e.rest)
 		e.restAt = now
 	}
 }
@@ -712,7 +706,9 @@
 	// bytes and probes a command cost a quarter point. What can't be told or asked while fresh is left out.
 	const bytes, probes = 64.0, 0.2
 	rate, n := 0.0, len(b.engines)
+	b.slowest = 0
 	for k := range b.prof {
+		b.slowest = max(b.slowest, b.prof[k].slow)
 		rate += b.prof[k].received.most(b.now) / min(max(b.now-b.began, 1), allowSpan)
 	}
 	if b.set.Peers && b.now >= b.tellAt && float64(6*n*(len(b.heard)-1)) <= bytes*rate*fresh/3 {
