--- a/brain/brain.go
+++ b/brain/brain.go
@@ -704,7 +704,7 @@
 	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
 	// Both follow this router's own commands, or their cost would grow with the square of the fleet: so many
 	// bytes and probes a command cost a quarter point. What can't be told or asked while fresh is left out.
-	const bytes, probes = 64.0, 0.2
+	const bytes, probes = 64.0, 0.5
 	rate, n := 0.0, len(b.engines)
 	b.slowest = 0
 	for k := range b.prof {
