The average of a few load reports stands for the pool while it is low

Now the average over some ten reports stands for engines not asked, while under 1.25 threads a core; over that, as it lags, own counts bind as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,6 +28,7 @@
 	message          []byte
 	slowest          float64 // slowdown of the profile that has the most: a rare one's own news is old
 	asked, span      float64 // work of the commands taken, fading, and the seconds it stands for
+	dense            float64 // others' threads a core, averaged over reports
 	sheds, next      int     // sheds since the last line in the log; engine to probe next
 
 	began, swapAt, logAt, tellAt, probeAt, watchAt float64
@@ -52,7 +53,7 @@
 	set.Routers = max(set.Routers, 1)
 	b := &Brain{set: set, host: host, now: now, rnd: newPCG(set.Seed), cmds: newSlab(),
 		pool: newPool(set.Routers), share: 1 / float64(set.Routers), mark: math.Inf(1), cut: math.Inf(1),
-		swapAt: now, began: now, watchAt: math.Inf(1)}
+		swapAt: now, began: now, watchAt: math.Inf(1), dense: low}
 	const markShare = 0.5 // the short lane leaves half the tightest target for crowding
 	for _, p := range set.Profiles {
 		p.Threads = max(p.Threads, 1)
@@ -330,20 +331,19 @@
 			continue
 		}
 		s := e.threads + e.others + float64(p.Threads)
-		if !e.known {
+		if !e.known || e.guessed {
 			// Chance stands for the others' threads, or all would send to the larger engines first. It is drawn
 			// once: a router keeps to engines that it knows, and many routers together follow the cores.
-			chance := e.chance
-			if b.isCold(e) {
-				chance = 0 // its budget holds the others back, and a turn left out is lost
+			s -= (1 - b.share) * float64(p.Threads)
+			if !b.isCold(e) { // its budget holds the others back, and a turn left out is lost
+				s += (1 - b.share) * e.chance
 			}
-			s += (1 - b.share) * (chance - float64(p.Threads))
 		}
 		s *= b.slowOf(e) / e.cores
 		if e.Zone != b.set.Zone {
-			cross := 0.2  // elsewhere must be this much emptier: crossing has a small price and delay
-			if !e.known { // not while answers, mostly from here, are slow by half
-				cross *= min(max(3-2*b.slowest, 0), 1)
+			cross := 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
+			if !e.known || e.guessed {
+				cross *= min(max(3-2*b.slowest, 0), 1) // not while answers, mostly from here, are slow by half
 			}
 			s += cross
 		}
@@ -558,10 +558,9 @@
 
 // ---- upkeep
 
-// Woken is the upkeep tick (token 0) or a command's last moment.
 func (b *Brain) Woken(now float64, token uint64) {
 	b.now = now
-	if token != 0 {
+	if token != 0 { // a command's last moment; else the upkeep tick
 		if i, ok := b.cmds.at[uint32(token)]; ok && !b.cmds.rec[i].done && !b.cmds.rec[i].streaming {
 			b.finish(i)
 			b.flush()
@@ -677,14 +676,17 @@
 	}
 }
 
-// Probed answers a probe; a load report in it tells what the other routers have there.
+const low = 1.25 // threads a core, under those that press: 1 and 1.5 lose on one day or another
+
 func (b *Brain) Probed(now float64, id uint32, _ End, _ float64, load *Load) {
 	b.now = now
 	if k, ok := b.index[id]; ok && load != nil && load.Held >= 0 {
 		threads, outs := b.sums() // others' commands are taken to be like ours
 		e := &b.engines[k]
 		// An average: all routers would rush to the engine that one old report shows emptiest.
-		e.rest += 0.3 * (max(load.Held-float64(e.outs), 0)*(threads+1)/(outs+1) - e.rest)
+		rest := max(load.Held-float64(e.outs), 0) * (threads + 1) / (outs + 1)
+		e.rest += 0.3 * (rest - e.rest)
+		b.dense += 0.1 * (rest/e.cores - b.dense)
 		e.restAt = now
 	}
 }
@@ -701,7 +703,7 @@
 // A router that fell silent is taken to be gone: if only cut off, it can't reach our engines either.
 func (b *Brain) report() {
 	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
-	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
+	const fresh, lately = 1.5, 3.0         // seconds that word of a load, and a report, counts: some get lost
 	// Both follow this router's own commands, or their cost would grow with the square of the fleet: so many
 	// bytes and probes a command cost a quarter point. What can't be told or asked while fresh is left out.
 	const bytes, probes = 64.0, 0.5
@@ -717,16 +719,18 @@
 		b.host.Tell(-1, b.message)
 	}
 	b.share = 1 / float64(len(b.heard))
-	if gone, met := b.sumUp(b.now, fresh, 2*probeEvery); met {
+	// A router that can't ask all engines in time takes the average of a few for the rest, while that is low: it
+	// lags, and all would fill what it shows free.
+	if gone, met := b.sumUp(b.now, fresh, lately, b.dense, low); met {
 		b.share = 1 / float64(max(len(b.heard)-gone, 2)) // never all: it may only be this router that hears nothing
 	}
-	if b.all = b.sum(); !b.all.known && b.all.cores > 0 {
+	if b.all = b.sum(); !(b.all.known && b.set.Peers) && b.all.cores > 0 {
 		// Exception: an equal share holds back a router of more traffic than most. What it is asked for in the long
 		// run, of what the pool can do, is its part; less an equal share, since overload raises it for all.
-		b.share = min(max(b.share, b.asked/max(b.span, allowSpan)/b.all.cores-1*b.share), 1)
+		b.share = min(max(b.share, b.asked/max(b.span, allowSpan)/b.all.cores-b.share), 1)
 	}
 	if b.set.ProbeLoads && len(b.heard) > 1 && b.now >= b.probeAt && n > 0 &&
-		float64(n) <= 2*probeEvery*probes*rate {
+		float64(min(n, 3)) <= lately*probes*rate {
 		b.probeAt = b.now + max(probeEvery/float64(n), 1/(probes*rate)) // one by one: news comes spread
 		b.next = (b.next + 1) % n
 		if e := &b.engines[b.next]; e.State == Ready {
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -179,6 +179,7 @@
 	restAt  float64
 	others  float64 // threads of all others, as far as that is known
 	known   bool
+	guessed bool    // from other engines' reports
 	chance  float64 // stands for them where it is not
 }
 
@@ -233,8 +234,10 @@
 }
 
 // sumUp adds what others have on each engine, from routers heard or reports that came lately, and counts the
-// routers that were heard once and are no longer.
-func (p *pool) sumUp(now, heardFor, reportedFor float64) (gone int, met bool) {
+// routers that were heard once and are no longer. Where not all engines are known, dense threads a core stand for
+// the rest, if under low.
+func (p *pool) sumUp(now, heardFor, reportedFor, dense, low float64) (gone int, met bool) {
+	complete := true
 	for _, at := range p.heard {
 		if !math.IsInf(at, -1) {
 			met = true
@@ -246,9 +249,11 @@
 	for k := range p.engines {
 		e := &p.engines[k]
 		reported := now-e.restAt < reportedFor
+		e.guessed = false
 		if e.others, e.known = 0, met || reported; !met && reported {
 			e.others = e.rest
 		}
+		complete = complete && (e.known || e.State != Ready)
 		for r, at := range p.heard {
 			if !met {
 				break
@@ -258,6 +263,15 @@
 			}
 		}
 	}
+	for k := range p.engines {
+		switch e := &p.engines[k]; {
+		case complete: // all that matter are known
+		case dense >= low:
+			e.others, e.known = 0, false // some known beside others that are not would mislead
+		case !e.known:
+			e.others, e.known, e.guessed = dense*e.cores, true, true
+		}
+	}
 	return gone, met
 }
 
