Long commands go where something answered lately

Short commands now find out who is well: a long one takes an engine that answered within 3 s and owes us nothing overdue, unless it is fuller by half a thread a core. Also covers engines cut off, failing or slow that this router has not met lately. Harm: an engine little used gets reports later.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
-// This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface)
-// and calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen; the Brain answers
-// through Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it
-// (in the line of held commands) or ends it, and what comes back from an engine runs up the same chain.
-// Bouncer's rule decides the ordinary path (docs/design.md).
+// This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface),
+// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen, and is answered by way
+// of Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it (in the
+// held line) or ends it; what comes back runs up the same chain. Bouncer's rule decides the ordinary path.
 package brain
 
 import (
@@ -44,8 +43,7 @@
 	slow           float64 // usual slowdown: processing time over work per thread
 }
 
-// tenant is a bucket of what its quota allows; the excess is worth little and goes last.
-type tenant struct{ left, at float64 }
+type tenant struct{ left, at float64 } // a bucket of what its quota allows; the excess goes last
 
 const allowSpan = 10.0 // the allowance's window: some tens of a rare profile's commands
 
@@ -74,8 +72,6 @@
 	return b
 }
 
-// ---- the chain
-
 var chain []stage
 
 func init() { // not a literal: the stages call each other through it (chain.go walks it)
@@ -316,6 +312,8 @@
 	return keep
 }
 
+const lately = 3.0 // seconds that an answer or a report counts: 1.5 was no better
+
 func (b *Brain) choose(r *record) int32 {
 	p := &b.prof[r.Profile]
 	// Rules 2 and 7; and one send at a time, whether or not copies are barred.
@@ -347,8 +345,11 @@
 			}
 			s += cross
 		}
-		if int32(k) == r.avoid { // any other engine first
-			s += 1000
+		switch {
+		case int32(k) == r.avoid:
+			s += 1000 // any other engine first
+		case !r.short && (e.overdue > 0 || b.now-e.heardAt > lately):
+			s += 0.5 // a long command goes where something answered lately; short ones find out who is well
 		}
 		if s < least {
 			best, least = int32(k), s
@@ -416,17 +417,16 @@
 	return e.threads == 0 || e.threads+t <= places
 }
 
-// places of this router on an engine. One place a core would leave cores idle while threads read from disk.
+// places of this router on an engine.
 func (b *Brain) places(e *engine) float64 {
-	const perCore = 1.7
+	const perCore = 1.7 // one a core would leave cores idle while threads read from disk
 	if e.others == 0 {
 		return e.cores * perCore * b.share
 	}
 	return max(e.cores*perCore-e.others, e.cores*perCore*b.share)
 }
 
-// wellAbove is the slowdown over best from which an engine is pressed.
-const wellAbove = 1.8
+const wellAbove = 1.8 // slowdown over best from which an engine is pressed
 
 // pressed: answers come well above best there, any profile's far above, or threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
@@ -513,7 +513,7 @@
 	const weight = 0.15 // of one outcome: some seven in a row tell
 	switch o.End {
 	case Answered:
-		e.sign = b.now
+		e.sign, e.heardAt = b.now, b.now
 		e.fails *= 1 - weight
 		work := o.Work
 		if work == 0 {
@@ -703,7 +703,7 @@
 // A router that fell silent is taken to be gone: if only cut off, it can't reach our engines either.
 func (b *Brain) report() {
 	const tellEvery, probeEvery = 0.2, 1.0 // each costs some tenths of a point a day, and loads live for seconds
-	const fresh, lately = 1.5, 3.0         // seconds that word of a load, and a report, counts: some get lost
+	const fresh = 1.5                      // seconds that word of a load counts: some messages lost in a row
 	// Both follow this router's own commands, or their cost would grow with the square of the fleet: so many
 	// bytes and probes a command cost a quarter point. What can't be told or asked while fresh is left out.
 	const bytes, probes = 64.0, 0.5
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -166,6 +166,7 @@
 	slowAt  float64
 	fails   float64 // recent share of sends that failed there
 	sign    float64 // last sign of life
+	heardAt float64 // last answer
 	overdue int     // sends long past what they should take, and what the shortest of them should
 	short   float64
 	fullTo  float64   // it turned us away: nothing before then
