A tenant's excess is refused while answers are well above best

It is worth a twentieth, and a shed promises a harmless retry. Acts only for tenants over quota and under pressure. Harm: excess that would have been served at leisure.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,6 +1,6 @@
 // This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface),
-// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen, and is answered by way
-// of Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it (in the
+// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen, and is answered by$
+// Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it (in the
 // held line) or ends it; what comes back runs up the same chain. Bouncer's rule decides the ordinary path.
 package brain
 
@@ -217,8 +217,9 @@
 
 // inTime compares both estimates with both targets, and the wait with the moment of giving up.
 func (b *Brain) inTime(r *record, p *profile) bool {
-	if p.read.n < 20 { // the design page's
-		return true
+	// Exception: a tenant's excess, worth little, adds to no crowd. Under 20 recent samples: the design page's.
+	if excess := r.worth < p.Benefit && b.slowest > wellAbove; excess || p.read.n < 20 {
+		return !excess
 	}
 	wait, k := 0.0, b.choose(r)
 	if k >= 0 && !b.pressed(p, &b.engines[k]) {
@@ -543,10 +544,9 @@
 	return pass
 }
 
-// doubt stops ordinary sends; single trials find out when the engine is back.
 func (b *Brain) doubt(e *engine, why string) {
-	const first, longest = 0.5, 3.0 // some round trips; short against the shortest troubles
-	if e.pause = min(e.pause*1.5, longest); !e.ill {
+	const first, longest = 0.5, 3.0                  // some round trips; short against the shortest troubles
+	if e.pause = min(e.pause*1.5, longest); !e.ill { // single trials find out when it is back
 		e.ill, e.pause = true, first
 		b.log("engine %d %s: one trial at a time", e.Engine, why)
 	}
