--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,5 +1,5 @@
 // This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface),
-// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen, and is answered by$
+// calls Members, Command, Outcome, Note, Probed, Peer, Left and Woken as things happen, and is answered by
 // Host. A command runs down the chain take, admit, order, place; each stage passes it on, keeps it (in the
 // held line) or ends it; what comes back runs up the same chain. Bouncer's rule decides the ordinary path.
 package brain
