--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,7 +26,7 @@
 	outcome          Outcome
 	message          []byte
 	slowest          float64 // slowdown of the profile that has the most: a rare one's own news is old
-	asked, span      float64 // work of the commands taken, fading, and the seconds it stands for
+	asked, span      float64 // work of the commands let in, fading, and the seconds it stands for
 	dense            float64 // others' threads a core, averaged over reports
 	sheds, next      int     // sheds since the last line in the log; engine to probe next
 
@@ -118,9 +118,6 @@
 	default:
 		p.meet(r.Cost) // no answer yet: a cold engine's budget needs some measure
 	}
-	if !r.Retry {
-		b.asked += p.work
-	}
 	r.best = r.cost / float64(p.Threads)
 	r.aim = r.took + p.Target + p.Stretch*r.best
 	r.short = r.best <= b.mark && r.worth == p.Benefit
@@ -211,15 +208,15 @@
 		b.finish(i)
 		return ended
 	}
+	b.asked += p.work
 	p.let.add(b.now, 1)
 	return pass
 }
 
 // inTime compares both estimates with both targets, and the wait with the moment of giving up.
 func (b *Brain) inTime(r *record, p *profile) bool {
-	// Exception: a tenant's excess, worth little, adds to no crowd. Under 20 recent samples: the design page's.
-	if excess := r.worth < p.Benefit && b.slowest > wellAbove; excess || p.read.n < 20 {
-		return !excess
+	if p.read.n < 20 { // the design page's
+		return true
 	}
 	wait, k := 0.0, b.choose(r)
 	if k >= 0 && !b.pressed(p, &b.engines[k]) {
@@ -725,7 +722,7 @@
 		b.share = 1 / float64(max(len(b.heard)-gone, 2)) // never all: it may only be this router that hears nothing
 	}
 	if b.all = b.sum(); !(b.all.known && b.set.Peers) && b.all.cores > 0 {
-		// Exception: an equal share holds back a router of more traffic than most. What it is asked for in the long
+		// Exception: an equal share holds back a router of more traffic than most. What it lets in in the long
 		// run, of what the pool can do, is its part; less an equal share, since overload raises it for all.
 		b.share = min(max(b.share, b.asked/max(b.span, allowSpan)/b.all.cores-b.share), 1)
 	}
