Tidy: histograms copied once, no key looked up for unordered commands, one check for unsure loads

A thin histogram was copied twice at a swap; order looked its key up for every command, ordered or not; whether an engine's load is known was asked twice in the choice; sumUp left a loop by a flag that does not change in it; the comment on lost answers is back.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -281,10 +281,11 @@
 func (b *Brain) inOrder(r *record) bool { return b.prof[r.Profile].Ordered && r.Key != 0 }
 
 func (b *Brain) order(i int32) bool {
-	r := &b.cmds.rec[i]
-	if l := b.cmds.keys[r.Key]; b.inOrder(r) && (l.head != i || b.now < l.until) {
-		b.cmds.hold(i)
-		return keep
+	if r := &b.cmds.rec[i]; b.inOrder(r) {
+		if l := b.cmds.keys[r.Key]; l.head != i || b.now < l.until {
+			b.cmds.hold(i)
+			return keep
+		}
 	}
 	return pass
 }
@@ -327,7 +328,8 @@
 			continue
 		}
 		s := e.threads + e.others + float64(p.Threads)
-		if !e.known || e.guessed {
+		unsure := !e.known || e.guessed
+		if unsure {
 			// Chance stands for the others' threads, or all would send to the larger engines first. It is drawn
 			// once: a router keeps to engines that it knows, and many routers together follow the cores.
 			s -= (1 - b.share) * float64(p.Threads)
@@ -336,9 +338,8 @@
 			}
 		}
 		s *= b.slowOf(e) / e.cores
-		if e.Zone != b.set.Zone {
-			cross := 0.2 // elsewhere must be this much emptier: crossing has a small price and delay
-			if !e.known || e.guessed {
+		if cross := 0.2; e.Zone != b.set.Zone { // elsewhere must be this much emptier: a small price and delay
+			if unsure {
 				cross *= min(max(3-2*b.slowest, 0), 1) // not while answers, mostly from here, are slow by half
 			}
 			s += cross
@@ -599,9 +600,11 @@
 	for k := range b.prof {
 		p := &b.prof[k]
 		p.read, p.fill = p.fill, p.read
-		if p.fill.copyScaled(&p.read, carry); p.read.n < thin {
-			p.fill.copyScaled(&p.read, carryThin)
+		share := carry
+		if p.read.n < thin {
+			share = carryThin
 		}
+		p.fill.copyScaled(&p.read, share)
 	}
 	if b.sheds > 0 && b.now >= b.logAt {
 		b.log("shed %d commands, %d held", b.sheds, len(b.cmds.held))
@@ -622,7 +625,7 @@
 			if s.at >= e.sign || b.now-e.sign > 3 {
 				e.overdue, e.short = e.overdue+1, min(e.short, s.expect)
 			} else if !s.lost && b.now-s.at > 6*s.expect+1 {
-				s.lost = true
+				s.lost = true // its answer is likely lost, as later ones came: it no longer takes a place
 				e.load(r.short, -float64(b.prof[r.Profile].Threads))
 			}
 		}
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -255,10 +255,10 @@
 			e.others = e.rest
 		}
 		complete = complete && (e.known || e.State != Ready)
+		if !met {
+			continue
+		}
 		for r, at := range p.heard {
-			if !met {
-				break
-			}
 			if now-at < heardFor {
 				e.others += e.theirs[r]
 			}
