--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -7,6 +7,7 @@
 	"math"
 
 	"dunereach/brain"
+	"dunereach/internal/settings"
 )
 
 const ms = 1e-3
@@ -125,14 +126,14 @@
 	if err != nil {
 		return nil, err
 	}
-	set, fields, err := settings(text, be.Uint64(e[1:]))
+	set, err := settings.Parse(text, be.Uint64(e[1:]))
 	if err != nil {
 		return nil, err
 	}
-	r := &router{id: id, profiles: len(set.Profiles), fields: fields, out: &s.out}
+	r := &router{id: id, profiles: len(set.Profiles), fields: set.LoadFields, out: &s.out}
 	s.routers[id] = r
 	s.out.router = id
-	r.guard(func() { r.mind = brain.New(set, s.now, r) })
+	r.guard(func() { r.mind = brain.New(set.Brain, s.now, r) })
 	return r, nil
 }
 
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"dunereach/brain"
+	"dunereach/internal/settings"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -121,13 +122,13 @@
 }
 
 func TestSettings(t *testing.T) {
-	s, _, err := settings([]byte(`{"Classes":[{"Aim":800,"AimStretch":2,"Deadline":4000,"DedupWindow":5000,"Effect":"keyed",
+	all, err := settings.Parse([]byte(`{"Classes":[{"Aim":800,"AimStretch":2,"Deadline":4000,"DedupWindow":5000,"Effect":"keyed",
 		"Group":"cell","Worth":3,"RunsIn":[1],"ByArrival":true}],"FamilyInfo":{"Dop":[4]},"Obligations":{"FurtherRatio":0.1,
 		"LookBack":10000,"KeyRest":500}}`), 7)
 	want := brain.Settings{Seed: 7, Routers: 1, KeyRest: 0.5, BudgetShare: 0.1, BudgetWindow: 10,
 		Profiles: []brain.Profile{{Target: 0.8, Stretch: 2, Benefit: 3, Effect: brain.Uniqued,
 			Group: brain.GroupCell, Window: 5, Ordered: true, Zones: []int{1}, Threads: 4}}}
-	if diff := cmp.Diff(want, s); diff != "" || err != nil {
+	if diff := cmp.Diff(want, all.Brain); diff != "" || err != nil {
 		t.Errorf("%v\n%s", err, diff)
 	}
 }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,82 @@
+// Package config reads what a router is told at its start: the environment, and the JSON file that it names.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"dunereach/internal/members"
+	"dunereach/internal/settings"
+)
+
+// Config of one router.
+type Config struct {
+	Name       string
+	Listen     netip.AddrPort
+	NameServer netip.AddrPort
+	Limits     Limits
+	Known      members.Known
+	Settings   settings.Settings
+}
+
+// Limits of the machine. Zero: none.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+type file struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Seed       string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	NameServer string          `json:"nameserver"`
+	Known      members.Known   `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration; the environment's name and address come before the file's.
+func Load(env func(string) string) (c Config, err error) {
+	path := env("BALANCER_CONFIG")
+	if path == "" {
+		return c, fmt.Errorf("BALANCER_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("configuration: %v", err)
+	}
+	return Parse(text, env("BALANCER_NAME"), env("BALANCER_LISTEN"))
+}
+
+// Parse reads the file's text.
+func Parse(text []byte, name, listen string) (c Config, err error) {
+	var f file
+	if err = json.Unmarshal(text, &f); err != nil {
+		return c, fmt.Errorf("configuration: %v", err)
+	}
+	if name == "" {
+		name = f.Name
+	}
+	if listen == "" {
+		listen = f.Listen
+	}
+	c = Config{Name: name, Limits: f.Limits, Known: f.Known}
+	if c.Listen, err = netip.ParseAddrPort(listen); err != nil {
+		return c, fmt.Errorf("configuration: address to listen on: %v", err)
+	}
+	if c.NameServer, err = netip.ParseAddrPort(f.NameServer); err != nil {
+		return c, fmt.Errorf("configuration: nameserver: %v", err)
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return c, fmt.Errorf("configuration: seed: %v", err)
+	}
+	if c.Settings, err = settings.Parse(f.Settings, seed); err != nil {
+		return c, fmt.Errorf("configuration: %v", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/engines/engines.go
@@ -0,0 +1,436 @@
+// Package engines carries sends to engines and their answers back: connections, streams, pages. It carries out
+// what it is told and decides nothing; it knows no socket but what takes its bytes.
+package engines
+
+import (
+	"math"
+	"net/netip"
+	"strconv"
+
+	"dunereach/brain"
+	"dunereach/internal/lines"
+	"dunereach/internal/sockets"
+)
+
+// Ref is a command's id as clients and engines write it.
+type Ref [16]byte
+
+// Job is one send, from the fetch to the last page. Its owner fills the first part and reads the second once
+// it has ended.
+type Job struct {
+	ID        uint32 // the module's
+	Number    int    // counting the command's sends from 0
+	Engine    uint32
+	Ref       Ref
+	Profile   string
+	Statement []byte
+	Level     int
+	At, Until float64
+	Unwanted  bool // nobody waits for the result any more
+
+	Pages        [][]byte // good until Ended returns
+	Work, Memory float64
+
+	out  bool
+	end  brain.End
+	conn *conn
+	sent bool
+	from int64 // where its bytes begin on the connection
+	got  int
+}
+
+// Out tells whether the send has not ended yet.
+func (j *Job) Out() bool { return j.out }
+
+// Owner learns how sends go. No call comes from within Send, GiveUp, Renice or Members.
+type Owner interface {
+	Ended(j *Job, end brain.End)
+	Noted(j *Job, kind brain.NoteKind, value float64)
+	Lost(engine uint32, how sockets.Ending)
+}
+
+// Line is where a connection's bytes go.
+type Line interface {
+	Append(add func(b []byte) []byte) int64
+	Begun(from int64) bool
+	Finish()
+	Drop()
+	Bad()
+}
+
+// Limits of the connections.
+type Limits struct {
+	Streams int     // sends on one
+	Conns   int     // all together
+	Idle    float64 // engines close them then
+}
+
+// Pool is the engines of the list and the connections to them. All of it is the owner's goroutine's.
+type Pool struct {
+	owner   Owner
+	limits  Limits
+	dial    func(addr netip.AddrPort, sink sockets.Sink) Line
+	engines map[uint32]*engine
+	conns   []*conn
+	later   []*Job // ended within a call from the owner
+	spare   [][]byte
+	now     float64
+}
+
+type engine struct {
+	addr  netip.AddrPort
+	state brain.State
+}
+
+type conn struct {
+	pool    *Pool
+	engine  uint32
+	line    Line
+	up      bool
+	retired bool // takes no more sends, and closes once nothing is out
+	parser  lines.Parser
+	out     map[Ref]*Job
+	waiting []*Job           // until it is up
+	spent   map[Ref]struct{} // given up here: an answer under these is late, and no other send's
+	usedAt  float64
+}
+
+func New(owner Owner, limits Limits, dial func(netip.AddrPort, sockets.Sink) Line) *Pool {
+	return &Pool{owner: owner, limits: limits, dial: dial, engines: map[uint32]*engine{}}
+}
+
+// At sets the time that calls go by.
+func (p *Pool) At(now float64) { p.now = now }
+
+// Members takes the list as it is now. What waits for a connection to an engine that drains or is gone is not
+// written any more.
+func (p *Pool) Members(list []brain.Entry, addr func(uint32) netip.AddrPort) {
+	for _, e := range p.engines {
+		e.state = brain.Gone
+	}
+	for _, n := range list {
+		e := p.engines[n.Engine]
+		if e == nil {
+			e = &engine{}
+			p.engines[n.Engine] = e
+		}
+		if a := addr(n.Engine); e.addr != a {
+			if e.addr.IsValid() {
+				p.retire(n.Engine)
+			}
+			e.addr = a
+		}
+		e.state = n.State
+	}
+	for id, e := range p.engines {
+		if e.state != brain.Ready {
+			p.retire(id)
+		}
+		if e.state == brain.Gone {
+			delete(p.engines, id)
+		}
+	}
+}
+
+func (p *Pool) retire(id uint32) {
+	for _, c := range p.conns {
+		if c.engine != id {
+			continue
+		}
+		c.retired = true
+		if !c.up {
+			c.line.Drop()
+		}
+		stuck := false
+		for _, j := range c.out {
+			if !j.sent {
+				p.endLater(j, brain.Unreachable)
+			} else {
+				stuck = stuck || !c.line.Begun(j.from)
+			}
+		}
+		if stuck { // its bytes would leave some time, perhaps past the grace of a drain
+			c.line.Drop()
+		}
+		c.rest()
+	}
+}
+
+// Send carries a command to an engine.
+func (p *Pool) Send(j *Job) {
+	j.out, j.sent, j.conn, j.got, j.Pages = true, false, nil, 0, j.Pages[:0]
+	j.Work, j.Memory = 0, 0
+	e := p.engines[j.Engine]
+	if e == nil || e.state != brain.Ready {
+		p.endLater(j, brain.Moot)
+		return
+	}
+	c := p.conn(j, e)
+	if c == nil { // all connections are taken: nothing was written
+		p.endLater(j, brain.Unreachable)
+		return
+	}
+	j.conn, c.out[j.Ref], c.usedAt = c, j, p.now
+	if c.up {
+		c.write(j)
+	} else {
+		c.waiting = append(c.waiting, j)
+	}
+}
+
+// conn is one with room for the send. A command that was given up on a connection goes on another: under its
+// id a late answer may still come there.
+func (p *Pool) conn(j *Job, e *engine) *conn {
+	for _, c := range p.conns {
+		_, out := c.out[j.Ref]
+		_, spent := c.spent[j.Ref]
+		if c.engine == j.Engine && !c.retired && len(c.out) < p.limits.Streams && !out && !spent {
+			return c
+		}
+	}
+	if len(p.conns) >= p.limits.Conns {
+		return nil
+	}
+	c := &conn{pool: p, engine: j.Engine, out: map[Ref]*Job{}, spent: map[Ref]struct{}{}}
+	c.line = p.dial(e.addr, c)
+	p.conns = append(p.conns, c)
+	return c
+}
+
+func (c *conn) write(j *Job) {
+	j.sent = true
+	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
+	j.from = c.line.Append(func(b []byte) []byte {
+		return lines.Fetch(b, j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Statement)
+	})
+}
+
+// GiveUp ends a send that is out. One that is on its way is taken back, so that it is over on the wire before
+// another leaves.
+func (p *Pool) GiveUp(j *Job, end brain.End) {
+	if c := j.conn; j.out && c != nil && j.sent {
+		if !c.line.Begun(j.from) { // it would leave after it was given up
+			c.line.Drop()
+		} else if j.got == 0 {
+			c.line.Append(func(b []byte) []byte { return lines.Abort(b, j.Ref[:]) })
+		} else {
+			c.line.Append(func(b []byte) []byte { return lines.Done(b, j.Ref[:]) })
+		}
+		c.spent[j.Ref] = struct{}{}
+		if len(c.spent) >= 10*p.limits.Streams { // ids of long ago must not pile up
+			c.retired = true
+		}
+	}
+	p.endLater(j, end)
+}
+
+// Renice sets the priority of a send that is out.
+func (p *Pool) Renice(j *Job) {
+	if j.out && j.sent && j.got == 0 {
+		j.conn.line.Append(func(b []byte) []byte { return lines.Renice(b, j.Ref[:], j.Level) })
+	}
+}
+
+func (p *Pool) endLater(j *Job, end brain.End) {
+	if j.out {
+		j.unlink()
+		j.end = end
+		p.later = append(p.later, j)
+	}
+}
+
+// unlink takes a send off its connection.
+func (j *Job) unlink() {
+	j.out = false
+	if c := j.conn; c != nil {
+		j.conn = nil
+		delete(c.out, j.Ref)
+		for k, w := range c.waiting {
+			if w == j {
+				c.waiting = append(c.waiting[:k], c.waiting[k+1:]...)
+				break
+			}
+		}
+		c.usedAt = c.pool.now
+		c.rest()
+	}
+}
+
+func (c *conn) rest() {
+	if c.retired && len(c.out) == 0 {
+		c.line.Finish()
+	}
+}
+
+func (j *Job) finish(p *Pool, end brain.End) {
+	j.unlink()
+	if end != brain.Answered { // part of a result is nobody's, and the job may be sent again at once
+		p.freePages(j)
+	}
+	p.owner.Ended(j, end)
+	if end == brain.Answered {
+		p.freePages(j)
+	}
+}
+
+// Settle tells of what ended within the owner's own calls, until nothing more does.
+func (p *Pool) Settle() {
+	for k := 0; k < len(p.later); k++ {
+		j := p.later[k]
+		p.freePages(j)
+		p.owner.Ended(j, j.end)
+	}
+	p.later = p.later[:0]
+}
+
+// Tidy closes connections before their engines would, so that no send crosses a close.
+func (p *Pool) Tidy() {
+	const share = 0.8 // of the time after which engines close: ahead by far more than any delay
+	for _, c := range p.conns {
+		if c.up && len(c.out) == 0 && p.now-c.usedAt > share*p.limits.Idle {
+			c.retired = true
+			c.rest()
+		}
+	}
+}
+
+func (c *conn) Up() {
+	c.up = true
+	for _, j := range c.waiting {
+		c.write(j)
+	}
+	c.waiting = nil
+	c.rest()
+}
+
+func (c *conn) Feed(b []byte) {
+	if err := c.parser.Feed(b, c.answer); err != nil {
+		c.line.Bad()
+	}
+}
+
+func (c *conn) Ended(how sockets.Ending) {
+	if how == sockets.Finished { // an engine that closes its side answers no more
+		c.retired = true
+		c.line.Drop()
+		return
+	}
+	p := c.pool
+	for k, o := range p.conns {
+		if o == c {
+			p.conns = append(p.conns[:k], p.conns[k+1:]...)
+			break
+		}
+	}
+	if len(c.out) > 0 {
+		p.owner.Lost(c.engine, how)
+	}
+	c.retired = true
+	for _, j := range c.out {
+		p.endLater(j, byConnection(how, j.sent && c.line.Begun(j.from)))
+	}
+}
+
+func (c *conn) answer(a lines.Answer) {
+	var ref Ref
+	if len(a.ID) != len(ref) {
+		return
+	}
+	copy(ref[:], a.ID)
+	j := c.out[ref]
+	if j == nil { // late, for a send given up
+		return
+	}
+	p := c.pool
+	switch string(a.Word) {
+	case "update":
+		if kind, value, ok := note(a.Fields); ok {
+			p.owner.Noted(j, kind, value)
+		}
+	case "rows":
+		n, ok := lines.Number(lines.Field(a.Fields, "pos"))
+		if !ok || n < 1 || n >= len(j.Pages) || j.Pages[n] != nil {
+			c.line.Bad()
+			return
+		}
+		j.page(p, n, a.Body)
+		if j.got == len(j.Pages) {
+			c.line.Append(func(b []byte) []byte { return lines.Done(b, ref[:]) })
+			j.finish(p, brain.Answered)
+		}
+	case "served":
+		count, ok := lines.Number(lines.Field(a.Fields, "count"))
+		const most = 64 // pages: a result has 48,000 bytes at most, a page some thousand
+		if !ok || count < 1 || count > most || j.got > 0 {
+			c.line.Bad()
+			return
+		}
+		j.Work, j.Memory = real(lines.Field(a.Fields, "ticks"))/1000, real(lines.Field(a.Fields, "footprint"))
+		for range count {
+			j.Pages = append(j.Pages, nil)
+		}
+		j.page(p, 0, a.Body)
+		switch {
+		case count == 1:
+			j.finish(p, brain.Answered)
+		case j.Unwanted:
+			c.line.Append(func(b []byte) []byte { return lines.Done(b, ref[:]) })
+			j.finish(p, brain.Answered)
+		default: // all at once: one round trip for the lot
+			c.line.Append(func(b []byte) []byte {
+				for n := 1; n < count; n++ {
+					b = lines.More(b, ref[:], n)
+				}
+				return b
+			})
+		}
+	default:
+		if end, ok := byWord(a.Word); ok {
+			j.finish(p, end)
+		}
+	}
+}
+
+// page keeps one page's bytes.
+func (j *Job) page(p *Pool, n int, body []byte) {
+	var buf []byte
+	if k := len(p.spare); k > 0 {
+		buf, p.spare = p.spare[k-1], p.spare[:k-1]
+	} else {
+		buf = make([]byte, 0, 6000)
+	}
+	j.Pages[n] = append(buf[:0], body...)
+	j.got++
+}
+
+func (p *Pool) freePages(j *Job) {
+	const most = 512 // 3 MB of pages wait for reuse
+	for _, b := range j.Pages {
+		if b != nil && len(p.spare) < most {
+			p.spare = append(p.spare, b)
+		}
+	}
+	clear(j.Pages)
+	j.Pages = j.Pages[:0]
+}
+
+func note(fields []byte) (brain.NoteKind, float64, bool) {
+	value := real(lines.Field(fields, "reading"))
+	switch string(lines.Field(fields, "res")) {
+	case "p":
+		return brain.Progressed, value, true
+	case "s":
+		return brain.Spilling, value, true
+	case "w":
+		return brain.Waiting, value, true
+	}
+	return 0, 0, false
+}
+
+func real(b []byte) float64 {
+	v, err := strconv.ParseFloat(string(b), 64)
+	if err != nil || !(v >= 0 && v < 1e12) {
+		return 0
+	}
+	return v
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,270 @@
+// Package front is the service that clients call: it reads calls off one connection's bytes, hands commands to
+// the desk and writes the answers. It knows no socket but what takes its bytes.
+package front
+
+import (
+	"errors"
+	"strconv"
+
+	"dunereach/internal/sockets"
+	"dunereach/internal/thrift"
+)
+
+// Ask is what a client wants, as it came. Its bytes are good for the call that gets it only.
+type Ask struct {
+	Ref                   [16]byte
+	Profile, Tenant       []byte
+	Allow, Effort, Memory float64 // seconds, seconds, MB
+	Statement             []byte
+}
+
+// Desk takes what clients want. A command taken gets one of a Session's answers, unless it has Left.
+type Desk interface {
+	Take(s *Session, seq int32, a *Ask)
+	Left(id uint32)
+	Ready() bool
+	Bad(s *Session, how string)
+	Closed(s *Session)
+}
+
+// Line is where a session's bytes go.
+type Line interface {
+	Append(add func(b []byte) []byte) int64
+	Finish()
+	Drop()
+	Bad()
+}
+
+// Session is one client's connection.
+type Session struct {
+	Line   Line
+	desk   Desk
+	frames thrift.Frames
+	open   map[int32]uint32 // commands by the sequence number of their call
+	half   bool             // the client has said its last
+	last   bool             // closes once nothing is open
+}
+
+func NewSession(desk Desk) *Session { return &Session{desk: desk, open: map[int32]uint32{}} }
+
+func (s *Session) Up() {}
+
+// Feed takes bytes as they come.
+func (s *Session) Feed(b []byte) {
+	if err := s.frames.Feed(b, s.frame); err != nil {
+		s.desk.Bad(s, err.Error())
+		s.Line.Bad()
+	}
+}
+
+// Ended: a client that has closed its side may still read; one whose connection is gone has left.
+func (s *Session) Ended(how sockets.Ending) {
+	if how == sockets.Finished {
+		s.half = true
+		s.rest()
+		return
+	}
+	for seq, id := range s.open {
+		delete(s.open, seq)
+		s.desk.Left(id)
+	}
+	s.desk.Closed(s)
+}
+
+// Last closes the connection as soon as nothing is open on it.
+func (s *Session) Last() {
+	s.last = true
+	s.rest()
+}
+
+func (s *Session) rest() {
+	if (s.half || s.last) && len(s.open) == 0 {
+		s.Line.Finish()
+	}
+}
+
+// Hold notes that a call's command is in hand.
+func (s *Session) Hold(seq int32, id uint32) { s.open[seq] = id }
+
+var (
+	errHead  = errors.New("message is not of the strict binary protocol")
+	errTwice = errors.New("sequence number is open already")
+)
+
+func (s *Session) frame(frame []byte) error {
+	r := thrift.NewReader(frame)
+	kind, name, seq := r.Message()
+	if r.Bad || kind != thrift.Call && kind != thrift.Oneway {
+		return errHead
+	}
+	switch string(name) {
+	case "call":
+		if _, twice := s.open[seq]; twice {
+			return errTwice
+		}
+		var a Ask
+		if bad := a.read(&r); bad != "" {
+			s.except(string(name), seq, thrift.ProtocolError, bad)
+			return nil
+		}
+		s.desk.Take(s, seq, &a)
+	case "cancel":
+		if of, ok := readCancel(&r); ok {
+			if id, ok := s.open[of]; ok {
+				delete(s.open, of)
+				s.desk.Left(id)
+				s.rest()
+			}
+		}
+	case "health":
+		s.reply("health", seq, nil, s.desk.Ready())
+	default:
+		if kind == thrift.Call {
+			s.except(string(name), seq, thrift.UnknownMethod, "unknown method")
+		}
+	}
+	return nil
+}
+
+func readCancel(r *thrift.Reader) (seq int32, ok bool) {
+	for {
+		t, id := r.Field()
+		switch {
+		case t == thrift.Stop:
+			return seq, ok && !r.Bad
+		case t == thrift.I32 && id == 1:
+			seq, ok = r.I32(), true
+		default:
+			r.Skip(t)
+		}
+	}
+}
+
+// read takes the arguments of a call; bad says what is wrong with them.
+func (a *Ask) read(r *thrift.Reader) (bad string) {
+	var have struct{ fields, body bool }
+	for {
+		t, id := r.Field()
+		if t == thrift.Stop {
+			break
+		}
+		switch {
+		case t == thrift.Map && id == 1:
+			have.fields = true
+			k, v, n := r.Pairs()
+			if n > 0 && (k != thrift.String || v != thrift.String) {
+				return "fields are no map of strings"
+			}
+			for ; n > 0; n-- {
+				if name, value := r.Bytes(), r.Bytes(); !r.Bad && !a.field(string(name), value) {
+					return "field " + string(name) + " can't be used"
+				}
+			}
+		case t == thrift.String && id == 2:
+			have.body, a.Statement = true, r.Bytes()
+		default:
+			r.Skip(t)
+		}
+	}
+	switch {
+	case r.Bad:
+		return "arguments can't be read"
+	case !have.body || !have.fields || a.Ref == [16]byte{} || a.Allow == 0 || a.Profile == nil:
+		return "a field is missing"
+	}
+	return ""
+}
+
+func (a *Ask) field(name string, value []byte) (ok bool) {
+	ok = true
+	switch name {
+	case "service":
+		a.Profile = value
+	case "project":
+		a.Tenant = value
+	case "ref":
+		ok = len(value) == len(a.Ref)
+		for _, c := range value { // it goes on to engines as a word of a line
+			ok = ok && c > ' ' && c < 0x7f
+		}
+		copy(a.Ref[:], value)
+	case "allow":
+		a.Allow, ok = number(value, 1e-3)
+	case "effort":
+		a.Effort, ok = number(value, 1e-3)
+	case "memory":
+		a.Memory, ok = number(value, 1)
+	}
+	return ok
+}
+
+func number(b []byte, unit float64) (float64, bool) {
+	v, err := strconv.ParseFloat(string(b), 64)
+	return v * unit, err == nil && v >= 0 && v < 1e12
+}
+
+// Answered passes a whole result on: the pages as they came.
+func (s *Session) Answered(seq int32, pages [][]byte) {
+	s.closeCall(seq)
+	s.reply("call", seq, pages, true)
+	s.rest()
+}
+
+func (s *Session) reply(name string, seq int32, pages [][]byte, good bool) {
+	s.Line.Append(func(b []byte) []byte {
+		from, size := len(b), 0
+		for _, p := range pages {
+			size += len(p)
+		}
+		b = thrift.Begin(b, thrift.Reply, name, seq)
+		b = thrift.AppendField(b, thrift.Struct, 0)
+		b = thrift.AppendSize(thrift.AppendField(b, thrift.String, 1), size)
+		for _, p := range pages {
+			b = append(b, p...)
+		}
+		b = thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 2))
+		b = append(thrift.AppendField(b, thrift.Bool, 3), truth(good))
+		b = append(b, byte(thrift.Stop), byte(thrift.Stop))
+		thrift.End(b, from, 0)
+		return b
+	})
+}
+
+func truth(v bool) byte {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+// Shed refuses: a retry is harmless, best after the pause.
+func (s *Session) Shed(seq int32, pause float64) {
+	if pause > 0 {
+		s.exception(seq, 1, "cooldown", strconv.Itoa(int(pause*1000+0.5)))
+	} else {
+		s.exception(seq, 1)
+	}
+}
+
+// Failed promises nothing.
+func (s *Session) Failed(seq int32) { s.exception(seq, 2) }
+
+func (s *Session) exception(seq int32, field uint16, pairs ...string) {
+	s.closeCall(seq)
+	s.Line.Append(func(b []byte) []byte {
+		from := len(b)
+		b = thrift.Begin(b, thrift.Reply, "call", seq)
+		b = thrift.AppendField(b, thrift.Struct, field)
+		b = thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 1), pairs...)
+		b = append(b, byte(thrift.Stop), byte(thrift.Stop))
+		thrift.End(b, from, 0)
+		return b
+	})
+	s.rest()
+}
+
+func (s *Session) except(name string, seq int32, kind int32, text string) {
+	s.Line.Append(func(b []byte) []byte { return thrift.AppendException(b, name, seq, kind, text) })
+}
+
+func (s *Session) closeCall(seq int32) { delete(s.open, seq) }
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,129 @@
+// Package lines is the engines' protocol: lines of words ending in CR LF, some with a length and that many
+// bytes and CR LF behind. It knows no socket.
+package lines
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+const (
+	maxLine = 1024     // an id, a word and some fields are far under it
+	maxBody = 64 << 10 // a page has 6,000 bytes at most
+)
+
+// Answer is one answer of an engine; its bytes are good for the call that gets it only.
+type Answer struct{ ID, Word, Fields, Body []byte }
+
+// ErrGarbled tells of a line that is none of the protocol.
+var ErrGarbled = errors.New("line can't be read")
+
+// Parser cuts a stream of bytes into answers. It keeps bytes of an unfinished answer only.
+type Parser struct{ kept []byte }
+
+// Feed calls each with every answer that is whole now.
+func (p *Parser) Feed(b []byte, each func(Answer)) error {
+	if len(p.kept) > 0 {
+		p.kept = append(p.kept, b...)
+		b = p.kept
+	}
+	for len(b) > 0 {
+		a, n, err := next(b)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			break
+		}
+		each(a)
+		b = b[n:]
+	}
+	p.kept = append(p.kept[:0], b...)
+	return nil
+}
+
+// next reads one answer off the front; n is 0 where it is not whole.
+func next(b []byte) (a Answer, n int, err error) {
+	end := bytes.Index(b[:min(len(b), maxLine)], []byte("\r\n"))
+	if end < 0 {
+		if len(b) >= maxLine {
+			err = ErrGarbled
+		}
+		return a, 0, err
+	}
+	var words [4][]byte
+	rest := b[:end]
+	for k := range words {
+		word, after, more := bytes.Cut(rest, []byte(" "))
+		if len(word) == 0 || more != (k < 3) {
+			return a, 0, ErrGarbled
+		}
+		words[k], rest = word, after
+	}
+	size, ok := Number(words[3])
+	if !ok || size > maxBody {
+		return a, 0, ErrGarbled
+	}
+	from := end + 2
+	n = from + size + 2
+	if len(b) < n {
+		return a, 0, nil
+	}
+	if b[n-2] != '\r' || b[n-1] != '\n' {
+		return a, 0, ErrGarbled
+	}
+	return Answer{words[0], words[1], words[2], b[from : n-2]}, n, nil
+}
+
+// Field is the value of a field by its name, nil where it is absent.
+func Field(fields []byte, name string) []byte {
+	for len(fields) > 0 {
+		var f []byte
+		f, fields, _ = bytes.Cut(fields, []byte(","))
+		if len(f) > len(name) && f[len(name)] == '=' && string(f[:len(name)]) == name {
+			return f[len(name)+1:]
+		}
+	}
+	return nil
+}
+
+// Number reads a plain count.
+func Number(b []byte) (n int, ok bool) {
+	if len(b) == 0 || len(b) > 9 {
+		return 0, false
+	}
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + int(c-'0')
+	}
+	return n, true
+}
+
+// The writers append one command each.
+
+// Fetch asks for a query to be run. Priority 1 is what goes without saying.
+func Fetch(b, id []byte, kind string, wait, priority int, statement []byte) []byte {
+	b = append(append(append(b, "fetch "...), id...), " kind="...)
+	b = strconv.AppendInt(append(append(b, kind...), ",ms="...), int64(wait), 10)
+	if priority != 1 {
+		b = strconv.AppendInt(append(b, ",order="...), int64(priority), 10)
+	}
+	b = strconv.AppendInt(append(b, ' '), int64(len(statement)), 10)
+	return append(append(append(b, "\r\n"...), statement...), "\r\n"...)
+}
+
+func Abort(b, id []byte) []byte { return append(append(append(b, "abort "...), id...), "\r\n"...) }
+
+func Done(b, id []byte) []byte { return append(append(append(b, "done "...), id...), "\r\n"...) }
+
+func Renice(b, id []byte, n int) []byte { return numbered(b, "renice ", id, n) }
+
+func More(b, id []byte, n int) []byte { return numbered(b, "more ", id, n) }
+
+func numbered(b []byte, verb string, id []byte, n int) []byte {
+	b = append(append(append(b, verb...), id...), ' ')
+	return append(strconv.AppendInt(b, int64(n), 10), "\r\n"...)
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,184 @@
+// Package members turns what the name server tells into the module's list of engines. It knows no socket.
+package members
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dunereach/brain"
+	"dunereach/internal/dns"
+)
+
+// Record is the name that lists all engines.
+const Record = "_data._tcp.farm.lan"
+
+// Notice is an event of the list, as the configuration has those of the start.
+type Notice struct {
+	Rev  uint32 `json:"rev"`
+	Pool *struct {
+		All     bool     `json:"all"`
+		Targets []Target `json:"targets"`
+	} `json:"pool"`
+}
+
+// Target is one engine in a notice.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"capacity_hint"`
+	BootMs   float64 `json:"boot_ms"`
+}
+
+// Known is all that was told before the start.
+type Known struct {
+	Rev     uint32            `json:"rev"`
+	Notices []json.RawMessage `json:"notices"`
+}
+
+// Follower holds the list as last told.
+type Follower struct {
+	zones, kinds []string
+	rev          uint32
+	numbers      map[string]uint32
+	names        map[uint32]string
+	addrs        map[uint32]netip.AddrPort
+	list         []brain.Entry
+}
+
+func New(zones, kinds []string) *Follower {
+	return &Follower{zones: zones, kinds: kinds, numbers: map[string]uint32{}, names: map[uint32]string{},
+		addrs: map[uint32]netip.AddrPort{}}
+}
+
+// Start takes in what the configuration holds, in order.
+func (f *Follower) Start(k Known) error {
+	for n, raw := range k.Notices {
+		var event Notice
+		if err := json.Unmarshal(raw, &event); err != nil {
+			return fmt.Errorf("known: notice %d: %v", n, err)
+		}
+		f.rev = max(f.rev, event.Rev)
+		if event.Pool == nil {
+			continue
+		}
+		if event.Pool.All {
+			f.list = f.list[:0]
+		}
+		for _, t := range event.Pool.Targets {
+			if err := f.target(t); err != nil {
+				return fmt.Errorf("known: notice %d: %v", n, err)
+			}
+		}
+	}
+	f.rev = max(f.rev, k.Rev)
+	return nil
+}
+
+var states = map[string]brain.State{"ready": brain.Ready, "draining": brain.Draining, "gone": brain.Gone}
+
+func (f *Follower) target(t Target) error {
+	state, ok := states[t.State]
+	if !ok {
+		return fmt.Errorf("engine %s has state %q", t.UID, t.State)
+	}
+	e := brain.Entry{Engine: f.number(t.UID), Kind: index(f.kinds, t.Kind), Zone: index(f.zones, t.Zone),
+		Cell: t.Cell, Weight: t.Weight, ReadyAt: t.BootMs / 1000, State: state}
+	f.list = slices.DeleteFunc(f.list, func(o brain.Entry) bool { return o.Engine == e.Engine })
+	if state == brain.Gone {
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(t.Endpoint)
+	if err != nil || e.Kind < 0 || e.Zone < 0 {
+		return fmt.Errorf("engine %s: endpoint %q, kind %q, zone %q", t.UID, t.Endpoint, t.Kind, t.Zone)
+	}
+	f.addrs[e.Engine] = addr
+	f.list = append(f.list, e)
+	return nil
+}
+
+func index(names []string, name string) int {
+	return slices.IndexFunc(names, func(n string) bool { return strings.EqualFold(n, name) })
+}
+
+// number gives an engine the same number at every router, since routers share a cold engine out by it.
+func (f *Follower) number(uid string) uint32 {
+	uid = strings.ToLower(uid) // as names in DNS are compared
+	if n, ok := f.numbers[uid]; ok {
+		return n
+	}
+	h := fnv.New32a()
+	h.Write([]byte(uid))
+	n := h.Sum32()
+	for f.names[n] != "" || n == 0 { // another has it: rare, and all routers that know both agree
+		n++
+	}
+	f.numbers[uid], f.names[n] = n, uid
+	return n
+}
+
+// Name is the id of an engine as the list has it.
+func (f *Follower) Name(engine uint32) string { return f.names[engine] }
+
+// Addr is where an engine listens.
+func (f *Follower) Addr(engine uint32) netip.AddrPort { return f.addrs[engine] }
+
+// List is all engines that are ready or drain.
+func (f *Follower) List() []brain.Entry { return f.list }
+
+// Rev is the number of the last event taken in.
+func (f *Follower) Rev() uint32 { return f.rev }
+
+// Take takes in an answer; fresh is false where the list in hand is as new.
+func (f *Follower) Take(l dns.List) (fresh bool, err error) {
+	if l.Serial <= f.rev { // events are counted from 1 at each start: the number never wraps
+		return false, nil
+	}
+	list := make([]brain.Entry, 0, len(l.Services))
+	addrs := make(map[uint32]netip.AddrPort, len(l.Services))
+	for _, s := range l.Services {
+		uid, rest, _ := strings.Cut(s.Name, ".")
+		zone, _, _ := strings.Cut(rest, ".")
+		e := brain.Entry{Zone: index(f.zones, zone), Kind: -1, Weight: float64(s.Weight) / 10, State: brain.Ready}
+		if s.Priority > 0 {
+			e.State = brain.Draining
+		}
+		for _, t := range s.Text {
+			key, value, _ := strings.Cut(t, "=")
+			switch key {
+			case "kind":
+				e.Kind = index(f.kinds, value)
+			case "cell":
+				e.Cell, err = strconv.Atoi(value)
+			case "started":
+				e.ReadyAt, err = strconv.ParseFloat(value, 64)
+				e.ReadyAt /= 1000
+			}
+			if err != nil {
+				return false, fmt.Errorf("engine %s: %v", uid, err)
+			}
+		}
+		if uid == "" || e.Zone < 0 || e.Kind < 0 || !s.Addr.IsValid() {
+			return false, fmt.Errorf("engine %s: zone %q, text %q, address %v", uid, zone, s.Text, s.Addr)
+		}
+		e.Engine = f.number(uid)
+		addrs[e.Engine] = netip.AddrPortFrom(s.Addr, s.Port)
+		list = append(list, e)
+	}
+	for uid, n := range f.numbers { // names of engines long gone must not pile up
+		if !slices.ContainsFunc(list, func(e brain.Entry) bool { return e.Engine == n }) {
+			delete(f.numbers, uid)
+			delete(f.names, n)
+		}
+	}
+	f.rev, f.list, f.addrs = l.Serial, list, addrs
+	return true, nil
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,326 @@
+// Package router is the one owner of the decision module: it hosts it, keeps its timers and the commands in
+// hand, and hands everything that comes in to it, in order, on one goroutine.
+package router
+
+import (
+	"dunereach/brain"
+	"dunereach/internal/engines"
+	"dunereach/internal/front"
+	"dunereach/internal/settings"
+	"dunereach/internal/sockets"
+	"dunereach/internal/statement"
+
+	"go.uber.org/zap"
+)
+
+// command is one that a client is owed an answer for, or that still has a send out.
+type command struct {
+	id        uint32
+	session   *front.Session
+	seq       int32
+	profile   int
+	dueBy     float64
+	over      bool // the client has its answer, or has left
+	sends     int
+	level     int
+	statement []byte
+	job       engines.Job
+}
+
+// Router hosts the module. All its methods are the owner's goroutine's.
+type Router struct {
+	set    settings.Settings
+	mind   *brain.Brain
+	pool   *engines.Pool
+	log    *zap.Logger
+	names  func(engine uint32) string
+	now    float64
+	timers timers
+
+	cmds   map[uint32]*command
+	free   []*command
+	lastID uint32
+	owed   int // commands whose client waits
+	held   int // bytes of their statements
+	budget int
+	ending bool // asked to end: no front should count on this router
+	listed bool
+	profs  map[string]int
+	tens   map[string]int
+}
+
+const noPriority = 1 // what a send has that was given none
+
+// New makes a router that has yet to be told of its engines and of the time.
+func New(set settings.Settings, budget int, log *zap.Logger, names func(uint32) string) *Router {
+	r := &Router{set: set, log: log, names: names, budget: budget, cmds: map[uint32]*command{},
+		profs: map[string]int{}, tens: map[string]int{}}
+	for k, name := range set.Profiles {
+		r.profs[name] = k
+	}
+	for k, name := range set.Tenants {
+		r.tens[name] = k
+	}
+	return r
+}
+
+// Start brings the module to life.
+func (r *Router) Start(now float64, pool *engines.Pool) {
+	r.pool = pool
+	r.at(now)
+	r.mind = brain.New(r.set.Brain, now, r)
+}
+
+// at sets the time for what comes next.
+func (r *Router) at(now float64) {
+	r.now = max(r.now, now)
+	r.pool.At(r.now)
+}
+
+// Deliver hands over what a connection brought.
+func (r *Router) Deliver(now float64, e sockets.Entry) {
+	r.at(now)
+	e.Deliver()
+	r.pool.Settle()
+}
+
+// Members tells of the list.
+func (r *Router) Members(now float64, scope brain.Scope, list []brain.Entry, tell func()) {
+	r.at(now)
+	r.listed = r.listed || len(list) > 0
+	tell() // the connections first: what must not be sent any more is taken back
+	r.mind.Members(r.now, scope, list)
+	r.pool.Settle()
+}
+
+// Tick runs the timers that are due and gives the time of the next.
+func (r *Router) Tick(now float64) (next float64) {
+	r.at(now)
+	for len(r.timers) > 0 && r.timers[0].at <= r.now {
+		t := r.timers.pop()
+		if t.what == wake {
+			r.mind.Woken(r.now, t.token)
+		} else if c := r.cmds[uint32(t.token)]; c != nil && c.job.Out() && c.job.Number == int(t.token>>32) {
+			r.pool.GiveUp(&c.job, brain.TimedOut)
+		}
+		r.pool.Settle()
+	}
+	r.pool.Tidy()
+	if len(r.timers) == 0 {
+		return r.now + 1
+	}
+	return r.timers[0].at
+}
+
+// Owed is how many commands have no final answer yet.
+func (r *Router) Owed() int { return r.owed }
+
+// End tells that the router has been asked to end.
+func (r *Router) End() { r.ending = true }
+
+// The desk of the front.
+
+func (r *Router) Ready() bool { return r.listed && !r.ending }
+
+// Take takes a command in, unless it can't be one.
+func (r *Router) Take(s *front.Session, seq int32, a *front.Ask) {
+	profile, ok := r.profs[string(a.Profile)]
+	tenant, known := r.tens[string(a.Tenant)]
+	if !ok || !known && len(r.tens) > 0 {
+		r.log.Info("unknown profile or tenant", zap.ByteString("profile", a.Profile), zap.ByteString("tenant", a.Tenant))
+		s.Failed(seq)
+		return
+	}
+	// The settings' bound, and one on memory: what passes them never reaches the module.
+	if r.owed >= r.set.Open || r.held+len(a.Statement) > r.budget {
+		r.log.Warn("too much in hand", zap.Int("commands", r.owed), zap.Int("bytes", r.held))
+		s.Shed(seq, 0)
+		return
+	}
+	var c *command
+	if n := len(r.free); n > 0 {
+		c, r.free = r.free[n-1], r.free[:n-1]
+	} else {
+		c = &command{}
+	}
+	for r.lastID++; r.cmds[r.lastID] != nil || r.lastID == 0; r.lastID++ {
+	}
+	*c = command{id: r.lastID, session: s, seq: seq, profile: profile, dueBy: r.now + a.Allow, level: noPriority,
+		statement: append(c.statement[:0], a.Statement...), job: engines.Job{Pages: c.job.Pages}}
+	c.job.Ref = a.Ref
+	r.cmds[c.id] = c
+	r.owed++
+	r.held += len(c.statement)
+	s.Hold(seq, c.id)
+	area, _ := statement.Group(a.Statement)
+	r.mind.Command(r.now, brain.Command{ID: c.id, Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
+		Memory: a.Memory, Area: area})
+}
+
+// Left: nobody waits for this command any more.
+func (r *Router) Left(id uint32) {
+	if c := r.cmds[id]; c != nil && !c.over {
+		r.over(c)
+		r.mind.Left(r.now, id)
+		r.release(c)
+	}
+}
+
+func (r *Router) Bad(_ *front.Session, how string) {
+	r.log.Warn("client can't be read", zap.String("why", how))
+}
+
+// over notes that nothing is owed any more.
+func (r *Router) over(c *command) {
+	c.over, c.session = true, nil
+	c.job.Unwanted = true
+	r.owed--
+	r.held -= len(c.statement)
+}
+
+// release frees the place of a command that is over and has no send out.
+func (r *Router) release(c *command) {
+	if c.over && !c.job.Out() && r.cmds[c.id] == c {
+		delete(r.cmds, c.id)
+		const most, long = 4096, 16 << 10 // places and bytes kept for reuse: a busy second's, some megabytes
+		if cap(c.statement) > long {
+			c.statement = nil
+		}
+		if len(r.free) < most {
+			r.free = append(r.free, c)
+		}
+	}
+}
+
+// What engines tell.
+
+func (r *Router) Ended(j *engines.Job, end brain.End) {
+	c := r.cmds[j.ID]
+	if end == brain.Answered && !c.over {
+		c.session.Answered(c.seq, j.Pages)
+		r.over(c)
+	}
+	o := brain.Outcome{ID: c.id, Engine: j.Engine, Send: j.Number, End: end, Lag: r.now - j.At, Over: c.over}
+	if end == brain.Answered {
+		o.Work, o.Memory = j.Work, j.Memory
+	}
+	r.mind.Outcome(r.now, o)
+	r.release(c)
+}
+
+func (r *Router) Noted(j *engines.Job, kind brain.NoteKind, value float64) {
+	r.mind.Note(r.now, brain.Note{ID: j.ID, Engine: j.Engine, Send: j.Number, Kind: kind, Value: value})
+}
+
+func (r *Router) Lost(engine uint32, how sockets.Ending) {
+	r.log.Info("connection lost", zap.String("engine", r.names(engine)), zap.Stringer("how", how))
+}
+
+// What the module asks for (brain.Host). Nothing here calls it back.
+
+func (r *Router) Send(id, engine uint32, limit float64) {
+	c := r.cmds[id]
+	until := c.dueBy // longer than the client waits is trimmed to that
+	if limit != 0 {
+		until = min(until, r.now+limit)
+	}
+	j := &c.job
+	j.ID, j.Number, j.Engine = id, c.sends, engine
+	j.Profile, j.Statement, j.Level = r.set.Profiles[c.profile], c.statement, c.level
+	j.At, j.Until, j.Unwanted = r.now, until, c.over
+	c.sends++
+	r.pool.Send(j)
+	if j.Out() {
+		r.timers.push(timer{at: until, what: limitOver, token: uint64(id) | uint64(j.Number)<<32})
+	}
+}
+
+func (r *Router) Shed(id uint32, pause float64) {
+	if c := r.cmds[id]; !c.over {
+		c.session.Shed(c.seq, pause)
+		r.over(c)
+		r.release(c)
+	}
+}
+
+func (r *Router) Fail(id uint32) {
+	if c := r.cmds[id]; !c.over {
+		c.session.Failed(c.seq)
+		r.over(c)
+		r.release(c)
+	}
+}
+
+func (r *Router) Cancel(id uint32, send int) {
+	if c := r.cmds[id]; c != nil && c.job.Number == send {
+		r.pool.GiveUp(&c.job, brain.Cancelled)
+	}
+}
+
+func (r *Router) Priority(id uint32, level int, _ float64) {
+	if c := r.cmds[id]; c != nil && c.level != level {
+		c.level = level
+		if c.job.Level = level; c.job.Out() {
+			r.pool.Renice(&c.job)
+		}
+	}
+}
+
+func (r *Router) Wake(after float64, token uint64) {
+	r.timers.push(timer{at: r.now + max(after, 0), what: wake, token: token})
+}
+
+// The settings of this deployment have neither probes nor other routers to talk to, and the list comes unasked.
+
+func (r *Router) Probe(uint32)     {}
+func (r *Router) Tell(int, []byte) {}
+func (r *Router) Watch(bool)       {}
+
+// Log writes the module's line, with engines under their own names.
+func (r *Router) Log(text string) { r.log.Info(text) }
+
+// timers is a heap by time.
+type timers []timer
+
+type timer struct {
+	at    float64
+	token uint64
+	what  uint8
+}
+
+const (
+	wake      = iota // the module asked for it
+	limitOver        // of a send: id and number
+)
+
+func (t *timers) push(n timer) {
+	*t = append(*t, n)
+	for i := len(*t) - 1; i > 0; {
+		up := (i - 1) / 2
+		if (*t)[up].at <= (*t)[i].at {
+			break
+		}
+		(*t)[up], (*t)[i] = (*t)[i], (*t)[up]
+		i = up
+	}
+}
+
+func (t *timers) pop() timer {
+	h := *t
+	top, n := h[0], len(h)-1
+	h[0] = h[n]
+	*t = h[:n]
+	for i := 0; ; {
+		least := i
+		for k := 2*i + 1; k <= 2*i+2 && k < n; k++ {
+			if h[k].at < h[least].at {
+				least = k
+			}
+		}
+		if least == i {
+			return top
+		}
+		h[i], h[least] = h[least], h[i]
+		i = least
+	}
+}
--- /dev/null
+++ b/internal/router/serve.go
@@ -0,0 +1,247 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"dunereach/brain"
+	"dunereach/internal/config"
+	"dunereach/internal/dns"
+	"dunereach/internal/engines"
+	"dunereach/internal/front"
+	"dunereach/internal/members"
+	"dunereach/internal/sockets"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// clock gives Unix seconds that only advance: engines' starts are told in them.
+type clock struct {
+	start time.Time
+	unix  float64
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now, float64(now.UnixMicro()) / 1e6}
+}
+
+func (c clock) now() float64 { return c.unix + time.Since(c.start).Seconds() }
+
+// service is the router with its sockets.
+type service struct {
+	*Router
+	cfg      config.Config
+	clock    clock
+	log      *zap.Logger
+	list     *members.Follower
+	inbox    sockets.Inbox
+	arrivals chan net.Conn
+	sessions map[*front.Session]*sockets.Conn
+	answers  chan []byte // datagrams of the name server
+	asked    uint16
+	ask      *net.UDPConn
+	group    *errgroup.Group
+	ctx      context.Context
+}
+
+// Serve runs a router until the context ends it at once, or a stop ends it once all is answered.
+func Serve(ctx context.Context, cfg config.Config, stop <-chan struct{}, log *zap.Logger) error {
+	s := &service{cfg: cfg, clock: newClock(), log: log, list: members.New(cfg.Settings.Zones, cfg.Settings.Kinds),
+		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), sessions: map[*front.Session]*sockets.Conn{},
+		answers: make(chan []byte)}
+	if err := s.list.Start(cfg.Known); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen: %v", err)
+	}
+	defer listener.Close()
+	if s.ask, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(cfg.NameServer)); err != nil {
+		return fmt.Errorf("name server: %v", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s.group, ctx = errgroup.WithContext(ctx)
+	s.ctx = sockets.WithOwner(ctx)
+	s.group.Go(func() error { return s.accept(listener) })
+	s.group.Go(func() error { return s.hear() })
+	s.group.Go(func() error {
+		defer cancel()
+		defer s.ask.Close()
+		defer listener.Close()
+		return s.own(stop, listener)
+	})
+	return s.group.Wait()
+}
+
+// accept hands on connections of clients, and survives a lack of descriptors.
+func (s *service) accept(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		switch {
+		case err == nil:
+			select {
+			case s.arrivals <- nc:
+			case <-s.ctx.Done():
+				nc.Close()
+				return nil
+			}
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			s.log.Warn("accept", zap.Error(err))
+			select {
+			case <-time.After(20 * time.Millisecond): // until some connection ends
+			case <-s.ctx.Done():
+				return nil
+			}
+		}
+	}
+}
+
+// hear hands on datagrams of the name server.
+func (s *service) hear() error {
+	for {
+		buf := make([]byte, 9000) // answers hold 8,000 at most
+		n, err := s.ask.Read(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			select { // an unreachable server shows here; asking goes on
+			case <-time.After(20 * time.Millisecond):
+				continue
+			case <-s.ctx.Done():
+				return nil
+			}
+		}
+		select {
+		case s.answers <- buf[:n]:
+		case <-s.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// own is the owner's goroutine.
+func (s *service) own(stop <-chan struct{}, listener net.Listener) error {
+	// A third of the descriptors is the clients', as they keep to it; a third is the engines'; the rest is room.
+	third := max(s.cfg.Limits.Sockets/3, 16)
+	if s.cfg.Limits.Sockets == 0 {
+		third = 4096
+	}
+	// Statements in hand take a quarter of the memory at most, the rest is for results and the runtime.
+	budget := int(s.cfg.Limits.MemoryMB * (1 << 20) / 4)
+	if budget == 0 {
+		budget = 1 << 30
+	}
+	s.Router = New(s.cfg.Settings, budget, s.log, s.list.Name)
+	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: third,
+		Idle: s.cfg.Settings.ConnIdle}, s.dial)
+	s.Router.Start(s.clock.now(), pool)
+	s.members(brain.Cached)
+	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.Stringer("listen", s.cfg.Listen),
+		zap.Int("engines", len(s.list.List())))
+
+	// An event counts as told 1.5 s after it happened, heard or not: five questions in that time let two or three
+	// be lost.
+	const askEvery = 300 * time.Millisecond
+	asking := time.NewTicker(askEvery)
+	defer asking.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var ended <-chan time.Time
+	closing := false
+	for {
+		select {
+		case e := <-s.inbox:
+			s.Deliver(s.clock.now(), e)
+		case nc := <-s.arrivals:
+			s.arrive(nc, 2*third)
+		case <-asking.C:
+			s.question()
+		case msg := <-s.answers:
+			s.answer(msg)
+		case <-timer.C:
+		case <-stop:
+			stop = nil
+			s.End()
+			s.log.Info("asked to end", zap.Int("owed", s.Owed()))
+			// Clients still come for 0.6 s after the signal; what comes up to 0.7 s after it is answered.
+			ended = time.After(700 * time.Millisecond)
+		case <-ended:
+			ended, closing = nil, true
+			listener.Close()
+			for c := range s.sessions {
+				c.Last()
+			}
+		case <-s.ctx.Done():
+			return nil
+		}
+		next := s.Tick(s.clock.now())
+		timer.Reset(time.Duration(max(next-s.clock.now(), 0) * 1e9))
+		if closing && len(s.sessions) == 0 {
+			s.log.Info("ended")
+			return nil
+		}
+	}
+}
+
+func (s *service) arrive(nc net.Conn, most int) {
+	if len(s.sessions) >= most {
+		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
+		nc.Close()
+		return
+	}
+	// 32 open calls have 1.5 MB of results at most.
+	const limit = 2 << 20
+	c := front.NewSession(s)
+	line := sockets.New(c, s.inbox, limit)
+	c.Line = line
+	s.sessions[c] = line
+	line.Start(s.ctx, s.group, nc)
+}
+
+func (s *service) Closed(c *front.Session) { delete(s.sessions, c) }
+
+func (s *service) dial(addr netip.AddrPort, sink sockets.Sink) engines.Line {
+	// A hundred statements; an engine that takes nothing for longer is as good as silent.
+	const limit = 4 << 20
+	line := sockets.New(sink, s.inbox, limit)
+	line.Dial(s.ctx, s.group, addr.String(), time.Duration(s.cfg.Settings.ConnectTimeout*1e9))
+	return line
+}
+
+// question asks the name server for the list.
+func (s *service) question() {
+	var id [2]byte
+	rand.Read(id[:])
+	s.asked = binary.BigEndian.Uint16(id[:])
+	s.ask.Write(dns.Query(nil, s.asked, members.Record)) // a lost one is asked again
+}
+
+func (s *service) answer(msg []byte) {
+	l, err := dns.Parse(msg, s.asked, members.Record)
+	fresh := false
+	if err == nil {
+		fresh, err = s.list.Take(l)
+	}
+	if err != nil {
+		s.log.Warn("list of engines", zap.Error(err))
+	} else if fresh {
+		s.log.Info("list of engines", zap.Uint32("rev", s.list.Rev()), zap.Int("engines", len(s.list.List())))
+		s.members(brain.Full)
+	}
+}
+
+func (s *service) members(scope brain.Scope) {
+	s.Members(s.clock.now(), scope, s.list.List(), func() { s.pool.Members(s.list.List(), s.list.Addr) })
+}
--- a/internal/benchwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,5 @@
-package benchwire
+// Package settings reads the settings' JSON, which the bench's wire and the router's configuration share.
+package settings
 
 import (
 	"encoding/json"
@@ -8,17 +9,35 @@
 	"dunereach/brain"
 )
 
+const ms = 1e-3
+
+// Settings are the module's, and what only its surroundings act on.
+type Settings struct {
+	Brain          brain.Settings
+	LoadFields     []string // order of load report values
+	Profiles       []string // names, in the order of the module's numbers
+	Tenants        []string
+	Zones, Kinds   []string
+	ConnIdle       float64 // engines close connections idle for this long
+	ConnectTimeout float64 // a connection not up by then never comes up
+	Streams        int     // sends that may be out on one connection
+	Open           int     // commands in hand; what passes them is not taken
+	Longest        float64 // the longest client timeout
+}
+
 // bootInfo is the wire's settings; times are in milliseconds. Unknown keys are skipped.
 type bootInfo struct {
 	Balancers, Me, MyZone int
 	Tick                  float64
 	Discovery             string
 	OverShareWorth        float64
+	Dcs, Kinds            []string
 	Classes               []struct {
-		Aim, AimStretch, DedupWindow, Worth float64
-		Effect, Group                       string
-		ByArrival                           bool
-		RunsIn, KindsOnly                   []int
+		Name                                          string
+		Aim, AimStretch, Deadline, DedupWindow, Worth float64
+		Effect, Group                                 string
+		ByArrival                                     bool
+		RunsIn, KindsOnly                             []int
 	}
 	FamilyInfo struct {
 		CpuOfKind   []float64
@@ -28,7 +47,8 @@
 	Limits struct {
 		Cancel, Peers, Probes, RetryAfter bool
 		MaxRetryAfter                     float64
-		SendCap                           int
+		ConnIdle, ConnectTimeout          float64
+		SendCap, MaxStreams, OpenCap      int
 	}
 	LoadInfo struct {
 		Fields []string
@@ -38,7 +58,10 @@
 		ColdFrom, Fall, FallMultiple, WarmUp, KeyRest float64
 		ExtraFree, FurtherRatio, LookBack             *float64
 	}
-	Realms []struct{ QuotaPerS float64 }
+	Realms []struct {
+		Name      string
+		QuotaPerS float64
+	}
 }
 
 var effects = map[string]brain.Effect{
@@ -49,16 +72,21 @@
 	"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell,
 }
 
-// settings turns the wire's settings into the module's, and gives the order of load report values.
-func settings(text []byte, seed uint64) (s brain.Settings, fields []string, err error) {
+// Parse turns the settings' JSON into the module's settings and the rest.
+func Parse(text []byte, seed uint64) (all Settings, err error) {
 	var b bootInfo
 	if err = json.Unmarshal(text, &b); err != nil {
-		return s, nil, fmt.Errorf("settings: %v", err)
+		return all, fmt.Errorf("settings: %v", err)
 	}
 	if b.Balancers > 1<<16 || b.Me < 0 {
-		return s, nil, fmt.Errorf("settings: instance %d of %d", b.Me, b.Balancers)
+		return all, fmt.Errorf("settings: instance %d of %d", b.Me, b.Balancers)
+	}
+	all = Settings{
+		LoadFields: b.LoadInfo.Fields, Zones: b.Dcs, Kinds: b.Kinds,
+		ConnIdle: b.Limits.ConnIdle * ms, ConnectTimeout: b.Limits.ConnectTimeout * ms,
+		Streams: b.Limits.MaxStreams, Open: b.Limits.OpenCap,
 	}
-	s = brain.Settings{
+	all.Brain = brain.Settings{
 		Seed: seed, Me: b.Me, Routers: max(b.Balancers, 1), Zone: b.MyZone, Tick: b.Tick * ms,
 		OverShareBenefit: b.OverShareWorth, KindCores: b.FamilyInfo.CpuOfKind, Ask: b.Discovery == "ask",
 		Cancels: b.Limits.Cancel, Peers: b.Limits.Peers,
@@ -68,6 +96,7 @@
 		FallMultiple: b.Obligations.FallMultiple, FallWindow: b.Obligations.Fall * ms,
 		KeyRest: b.Obligations.KeyRest * ms,
 	}
+	s := &all.Brain
 	if b.Limits.RetryAfter {
 		s.MaxPause = b.Limits.MaxRetryAfter * ms
 	}
@@ -82,13 +111,14 @@
 		}
 	}
 	for _, t := range b.Realms {
+		all.Tenants = append(all.Tenants, t.Name)
 		s.Tenants = append(s.Tenants, brain.Tenant{QuotaPerS: t.QuotaPerS})
 	}
 	for i, c := range b.Classes {
 		effect, ok := effects[c.Effect]
 		group, ok2 := groups[c.Group]
 		if !ok || !ok2 {
-			return s, nil, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
+			return all, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
 		}
 		p := brain.Profile{
 			Target: c.Aim * ms, Stretch: c.AimStretch, Benefit: c.Worth,
@@ -99,9 +129,11 @@
 			p.Threads = max(b.FamilyInfo.Dop[i], 1)
 		}
 		s.Profiles = append(s.Profiles, p)
+		all.Profiles = append(all.Profiles, c.Name)
+		all.Longest = max(all.Longest, c.Deadline*ms)
 	}
 	if len(s.Profiles) == 0 {
-		return s, nil, fmt.Errorf("settings: no classes")
+		return all, fmt.Errorf("settings: no classes")
 	}
-	return s, b.LoadInfo.Fields, nil
+	return all, nil
 }
--- /dev/null
+++ b/internal/thrift/frames.go
@@ -0,0 +1,239 @@
+// Package thrift is framed transport and strict binary protocol (Apache Thrift): frames from bytes as they come,
+// a reader over one frame, and what is appended to answer. It knows neither a socket nor a service.
+package thrift
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// MaxFrame bounds what one call may hold: a statement and some fields are far under it.
+const MaxFrame = 256 << 10
+
+var be = binary.BigEndian
+
+// Frames cuts a stream of bytes into frames. It keeps bytes of an unfinished frame only.
+type Frames struct{ kept []byte }
+
+// Feed calls each with every frame that is whole now; the frame is good for that call only.
+func (f *Frames) Feed(b []byte, each func(frame []byte) error) error {
+	if len(f.kept) > 0 {
+		f.kept = append(f.kept, b...)
+		b = f.kept
+	}
+	for len(b) >= 4 {
+		n := be.Uint32(b)
+		if n > MaxFrame {
+			return fmt.Errorf("frame of %d bytes", n)
+		}
+		if len(b) < 4+int(n) {
+			break
+		}
+		if err := each(b[4 : 4+n]); err != nil {
+			return err
+		}
+		b = b[4+n:]
+	}
+	if f.kept = append(f.kept[:0], b...); len(f.kept) == 0 && cap(f.kept) > 16<<10 {
+		f.kept = nil // one long call must not hold memory for the life of its connection
+	}
+	return nil
+}
+
+// Type of a value on the wire.
+type Type byte
+
+const (
+	Stop   Type = 0
+	Bool   Type = 2
+	Byte   Type = 3
+	Double Type = 4
+	I16    Type = 6
+	I32    Type = 8
+	I64    Type = 10
+	String Type = 11
+	Struct Type = 12
+	Map    Type = 13
+	Set    Type = 14
+	List   Type = 15
+	UUID   Type = 16
+)
+
+// Kind of a message.
+type Kind byte
+
+const (
+	Call      Kind = 1
+	Reply     Kind = 2
+	Exception Kind = 3
+	Oneway    Kind = 4
+)
+
+const strict = 0x80010000
+
+// ErrShort tells that a frame ends before its content does, or that its content is no such protocol.
+var ErrShort = errors.New("frame can't be read")
+
+// Reader takes values off a frame. After the first that can't be read all are zero, and Bad is set.
+type Reader struct {
+	b   []byte
+	Bad bool
+}
+
+func NewReader(frame []byte) Reader { return Reader{b: frame} }
+
+func (r *Reader) take(n int) []byte {
+	if n < 0 || n > len(r.b) {
+		r.Bad, r.b = true, nil
+		return nil
+	}
+	v := r.b[:n]
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *Reader) U8() byte {
+	if v := r.take(1); v != nil {
+		return v[0]
+	}
+	return 0
+}
+
+func (r *Reader) U16() uint16 {
+	if v := r.take(2); v != nil {
+		return be.Uint16(v)
+	}
+	return 0
+}
+
+func (r *Reader) I32() int32 {
+	if v := r.take(4); v != nil {
+		return int32(be.Uint32(v))
+	}
+	return 0
+}
+
+// Bytes are a string or binary; they stay the frame's.
+func (r *Reader) Bytes() []byte { return r.take(int(r.I32())) }
+
+// Message reads the head of a frame.
+func (r *Reader) Message() (kind Kind, name []byte, seq int32) {
+	v := uint32(r.I32())
+	if v&0xffff0000 != strict {
+		r.Bad, r.b = true, nil
+		return
+	}
+	return Kind(v), r.Bytes(), r.I32()
+}
+
+// Field reads the head of a field; Stop ends a struct, as does a frame that can't be read.
+func (r *Reader) Field() (Type, uint16) {
+	t := Type(r.U8())
+	if t == Stop {
+		return Stop, 0
+	}
+	return t, r.U16()
+}
+
+// Pairs reads the head of a map.
+func (r *Reader) Pairs() (key, value Type, n int32) {
+	key, value, n = Type(r.U8()), Type(r.U8()), r.I32()
+	if n < 0 || int(n) > len(r.b) { // a pair takes two bytes at least
+		r.Bad, r.b, n = true, nil, 0
+	}
+	return
+}
+
+// Skip passes over a value of a type.
+func (r *Reader) Skip(t Type) { r.skip(t, 0) }
+
+func (r *Reader) skip(t Type, depth int) {
+	const deepest = 32 // levels: no sender nests so far, and a stack must not grow by a frame's content
+	if depth > deepest {
+		r.Bad, r.b = true, nil
+		return
+	}
+	switch t {
+	case Bool, Byte:
+		r.take(1)
+	case I16:
+		r.take(2)
+	case I32:
+		r.take(4)
+	case Double, I64:
+		r.take(8)
+	case UUID:
+		r.take(16)
+	case String:
+		r.Bytes()
+	case Struct:
+		for {
+			t, _ := r.Field()
+			if t == Stop {
+				return
+			}
+			r.skip(t, depth+1)
+		}
+	case Map:
+		for k, v, n := r.Pairs(); n > 0 && !r.Bad; n-- {
+			r.skip(k, depth+1)
+			r.skip(v, depth+1)
+		}
+	case Set, List:
+		t := Type(r.U8())
+		for n := r.I32(); n > 0 && !r.Bad; n-- {
+			r.skip(t, depth+1)
+		}
+	default:
+		r.Bad, r.b = true, nil
+	}
+}
+
+// The writers append to a frame that Begin has opened and End closes.
+
+func Begin(b []byte, kind Kind, name string, seq int32) []byte {
+	b = append(b, 0, 0, 0, 0)
+	b = be.AppendUint32(b, strict|uint32(kind))
+	b = AppendBytes(b, name)
+	return be.AppendUint32(b, uint32(seq))
+}
+
+// End writes the length of the frame that starts at from, of which more bytes will follow.
+func End(b []byte, from, more int) { be.PutUint32(b[from:], uint32(len(b)-from-4+more)) }
+
+func AppendField(b []byte, t Type, id uint16) []byte { return be.AppendUint16(append(b, byte(t)), id) }
+
+func AppendBytes(b []byte, s string) []byte {
+	return append(be.AppendUint32(b, uint32(len(s))), s...)
+}
+
+// AppendSize is the head of a string whose bytes come after.
+func AppendSize(b []byte, n int) []byte { return be.AppendUint32(b, uint32(n)) }
+
+// AppendPairs is a map of strings.
+func AppendPairs(b []byte, pairs ...string) []byte {
+	b = append(b, byte(String), byte(String))
+	b = be.AppendUint32(b, uint32(len(pairs)/2))
+	for _, s := range pairs {
+		b = AppendBytes(b, s)
+	}
+	return b
+}
+
+// ApplicationException types, of the protocol's own.
+const (
+	UnknownMethod int32 = 1
+	ProtocolError int32 = 7
+)
+
+// AppendException is a whole frame that ends a call without its service's answer.
+func AppendException(b []byte, name string, seq int32, kind int32, text string) []byte {
+	from := len(b)
+	b = Begin(b, Exception, name, seq)
+	b = AppendBytes(AppendField(b, String, 1), text)
+	b = be.AppendUint32(AppendField(b, I32, 2), uint32(kind))
+	b = append(b, byte(Stop))
+	End(b, from, 0)
+	return b
+}
