--- a/cmd/dunereach/main.go
+++ b/cmd/dunereach/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -11,9 +12,10 @@
 	"syscall"
 
 	"dunereach/internal/config"
+	"dunereach/internal/logs"
 	"dunereach/internal/router"
 
-	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 func main() {
@@ -28,23 +30,25 @@
 	if err != nil {
 		return err
 	}
-	if n := int(cfg.Limits.Cores + 0.999); n > 0 {
+	if n := int(math.Ceil(cfg.Limits.Cores)); n > 0 {
 		runtime.GOMAXPROCS(n)
 	}
-	if mb := cfg.Limits.MemoryMB; mb > 0 { // the rest is for stacks, the kernel's share and the program itself
-		debug.SetMemoryLimit(int64(mb * (1 << 20) * 6 / 10))
+	if mb := cfg.Limits.MemoryMB; mb > 0 { // the rest is for the kernel's buffers and the program itself
+		debug.SetMemoryLimit(int64(mb * (1 << 20) * 0.6))
 	}
-	log, err := zap.NewProduction()
-	if err != nil {
-		return err
-	}
-	defer log.Sync()
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	stop := make(chan struct{})
-	go func() {
-		<-term
-		close(stop)
-	}()
-	return router.Serve(context.Background(), cfg, stop, log)
+	// The first signal asks for an orderly end; a second one ends at once.
+	asked, again := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(asked, again)
+	writer := logs.NewWriter()
+	ctx, served := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		writer.Run(ctx, os.Stderr)
+		return nil
+	})
+	group.Go(func() error {
+		defer served()
+		return router.Serve(ctx, asked.Done(), cfg, logs.New(writer))
+	})
+	return group.Wait()
 }
--- a/internal/dns/dns.go
+++ b/internal/dns/dns.go
@@ -54,15 +54,15 @@
 	errSerial = errors.New("no serial")
 )
 
-// Parse reads a whole answer to Query(_, id, name).
-func Parse(msg []byte, id uint16, name string) (list List, err error) {
+// Parse reads a whole answer to a Query for a name. Whether its ID was asked is the caller's to know.
+func Parse(msg []byte, name string) (list List, err error) {
 	if len(msg) < 12 {
 		return list, errShort
 	}
 	flags := be.Uint16(msg[2:])
 	list.ID = be.Uint16(msg)
 	switch {
-	case list.ID != id || flags&0x8000 == 0 || be.Uint16(msg[4:]) != 1:
+	case flags&0x8000 == 0 || be.Uint16(msg[4:]) != 1:
 		return list, errAnswer
 	case flags&0x0200 != 0:
 		return list, errCut
--- a/internal/engines/ending.go
+++ b/internal/engines/ending.go
@@ -5,13 +5,11 @@
 	"dunereach/internal/sockets"
 )
 
-// How sends end: by an engine's word, or by the end of their connection. This is the one place where either
-// becomes the module's End.
+// How sends end that bring no result: by an engine's word, or by the end of their connection. This is the one
+// place where either becomes the module's End.
 
 func byWord(word []byte) (brain.End, bool) {
 	switch string(word) {
-	case "served":
-		return brain.Answered, true
 	case "overload":
 		return brain.TurnedAway, true
 	case "crashed":
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -3,8 +3,11 @@
 package engines
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"dunereach/brain"
@@ -51,7 +54,7 @@
 
 // Line is where a connection's bytes go.
 type Line interface {
-	Append(add func(b []byte) []byte) int64
+	Append(b []byte) int64
 	Begun(from int64) bool
 	Finish()
 	Drop()
@@ -74,6 +77,7 @@
 	conns   []*conn
 	later   []*Job // ended within a call from the owner
 	spare   [][]byte
+	scratch []byte
 	now     float64
 }
 
@@ -87,6 +91,7 @@
 	engine  uint32
 	line    Line
 	up      bool
+	broken  bool // what came can't be read
 	retired bool // takes no more sends, and closes once nothing is out
 	parser  lines.Parser
 	out     map[Ref]*Job
@@ -122,7 +127,8 @@
 		}
 		e.state = n.State
 	}
-	for id, e := range p.engines {
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) { // in order: equal input must act alike
+		e := p.engines[id]
 		if e.state != brain.Ready {
 			p.retire(id)
 		}
@@ -142,7 +148,7 @@
 			c.line.Drop()
 		}
 		stuck := false
-		for _, j := range c.out {
+		for _, j := range c.jobs() {
 			if !j.sent {
 				p.endLater(j, brain.Unreachable)
 			} else {
@@ -156,6 +162,11 @@
 	}
 }
 
+// jobs is all that is out on a connection, in the order in which it came to the module.
+func (c *conn) jobs() []*Job {
+	return slices.SortedFunc(maps.Values(c.out), func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // Send carries a command to an engine.
 func (p *Pool) Send(j *Job) {
 	j.out, j.sent, j.conn, j.got, j.Pages = true, false, nil, 0, j.Pages[:0]
@@ -200,9 +211,14 @@
 func (c *conn) write(j *Job) {
 	j.sent = true
 	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
-	j.from = c.line.Append(func(b []byte) []byte {
-		return lines.Fetch(b, j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Statement)
-	})
+	c.pool.scratch = lines.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Statement)
+	j.from = c.line.Append(c.pool.scratch)
+}
+
+// say writes what was put together in the pool's scratch.
+func (c *conn) say(b []byte) {
+	c.pool.scratch = b
+	c.line.Append(b)
 }
 
 // GiveUp ends a send that is out. One that is on its way is taken back, so that it is over on the wire before
@@ -212,9 +228,9 @@
 		if !c.line.Begun(j.from) { // it would leave after it was given up
 			c.line.Drop()
 		} else if j.got == 0 {
-			c.line.Append(func(b []byte) []byte { return lines.Abort(b, j.Ref[:]) })
+			c.say(lines.Abort(p.scratch[:0], j.Ref[:]))
 		} else {
-			c.line.Append(func(b []byte) []byte { return lines.Done(b, j.Ref[:]) })
+			c.say(lines.Done(p.scratch[:0], j.Ref[:]))
 		}
 		c.spent[j.Ref] = struct{}{}
 		if len(c.spent) >= 10*p.limits.Streams { // ids of long ago must not pile up
@@ -227,7 +243,7 @@
 // Renice sets the priority of a send that is out.
 func (p *Pool) Renice(j *Job) {
 	if j.out && j.sent && j.got == 0 {
-		j.conn.line.Append(func(b []byte) []byte { return lines.Renice(b, j.Ref[:], j.Level) })
+		j.conn.say(lines.Renice(p.scratch[:0], j.Ref[:], j.Level))
 	}
 }
 
@@ -304,7 +320,11 @@
 }
 
 func (c *conn) Feed(b []byte) {
-	if err := c.parser.Feed(b, c.answer); err != nil {
+	if c.broken { // what was on its way when the connection was given up
+		return
+	}
+	if c.parser.Feed(b, c) != nil {
+		c.broken, c.retired = true, true
 		c.line.Bad()
 	}
 }
@@ -325,70 +345,79 @@
 	if len(c.out) > 0 {
 		p.owner.Lost(c.engine, how)
 	}
-	c.retired = true
-	for _, j := range c.out {
+	for _, j := range c.jobs() {
 		p.endLater(j, byConnection(how, j.sent && c.line.Begun(j.from)))
 	}
 }
 
-func (c *conn) answer(a lines.Answer) {
+// Answer takes an engine's word. What can't be right ends the connection.
+func (c *conn) Answer(a lines.Answer) bool {
 	var ref Ref
 	if len(a.ID) != len(ref) {
-		return
+		return true // under no id of ours
 	}
 	copy(ref[:], a.ID)
 	j := c.out[ref]
-	if j == nil { // late, for a send given up
-		return
+	if j == nil {
+		return true // late, for a send given up
 	}
-	p := c.pool
 	switch string(a.Word) {
 	case "update":
 		if kind, value, ok := note(a.Fields); ok {
-			p.owner.Noted(j, kind, value)
+			c.pool.owner.Noted(j, kind, value)
 		}
+		return true
+	case "served":
+		return c.served(j, a)
 	case "rows":
 		n, ok := lines.Number(lines.Field(a.Fields, "pos"))
 		if !ok || n < 1 || n >= len(j.Pages) || j.Pages[n] != nil {
-			c.line.Bad()
-			return
+			return false
 		}
-		j.page(p, n, a.Body)
+		j.page(c.pool, n, a.Body)
 		if j.got == len(j.Pages) {
-			c.line.Append(func(b []byte) []byte { return lines.Done(b, ref[:]) })
-			j.finish(p, brain.Answered)
-		}
-	case "served":
-		count, ok := lines.Number(lines.Field(a.Fields, "count"))
-		const most = 64 // pages: a result has 48,000 bytes at most, a page some thousand
-		if !ok || count < 1 || count > most || j.got > 0 {
-			c.line.Bad()
-			return
-		}
-		j.Work, j.Memory = real(lines.Field(a.Fields, "ticks"))/1000, real(lines.Field(a.Fields, "footprint"))
-		for range count {
-			j.Pages = append(j.Pages, nil)
-		}
-		j.page(p, 0, a.Body)
-		switch {
-		case count == 1:
-			j.finish(p, brain.Answered)
-		case j.Unwanted:
-			c.line.Append(func(b []byte) []byte { return lines.Done(b, ref[:]) })
-			j.finish(p, brain.Answered)
-		default: // all at once: one round trip for the lot
-			c.line.Append(func(b []byte) []byte {
-				for n := 1; n < count; n++ {
-					b = lines.More(b, ref[:], n)
-				}
-				return b
-			})
+			c.done(j)
 		}
+		return true
+	}
+	end, ok := byWord(a.Word)
+	if ok {
+		j.finish(c.pool, end)
+	}
+	return ok
+}
+
+// served takes the first page and asks for the others, all at once: one round trip for the lot.
+func (c *conn) served(j *Job, a lines.Answer) bool {
+	const most = 64 // pages: a result has 48,000 bytes at most, a page some thousand
+	count, ok := lines.Number(lines.Field(a.Fields, "count"))
+	if !ok || count < 1 || count > most || j.got > 0 {
+		return false
+	}
+	j.Work, j.Memory = figure(lines.Field(a.Fields, "ticks"))/1000, figure(lines.Field(a.Fields, "footprint"))
+	for range count {
+		j.Pages = append(j.Pages, nil)
+	}
+	j.page(c.pool, 0, a.Body)
+	switch {
+	case count == 1:
+		j.finish(c.pool, brain.Answered)
+	case j.Unwanted:
+		c.done(j)
 	default:
-		if end, ok := byWord(a.Word); ok {
-			j.finish(p, end)
+		b := c.pool.scratch[:0]
+		for n := 1; n < count; n++ {
+			b = lines.More(b, j.Ref[:], n)
 		}
+		c.say(b)
 	}
+	return true
+}
+
+// done ends a send whose engine still keeps pages.
+func (c *conn) done(j *Job) {
+	c.say(lines.Done(c.pool.scratch[:0], j.Ref[:]))
+	j.finish(c.pool, brain.Answered)
 }
 
 // page keeps one page's bytes.
@@ -415,7 +444,7 @@
 }
 
 func note(fields []byte) (brain.NoteKind, float64, bool) {
-	value := real(lines.Field(fields, "reading"))
+	value := figure(lines.Field(fields, "reading"))
 	switch string(lines.Field(fields, "res")) {
 	case "p":
 		return brain.Progressed, value, true
@@ -427,7 +456,7 @@
 	return 0, 0, false
 }
 
-func real(b []byte) float64 {
+func figure(b []byte) float64 {
 	v, err := strconv.ParseFloat(string(b), 64)
 	if err != nil || !(v >= 0 && v < 1e12) {
 		return 0
--- /dev/null
+++ b/internal/engines/engines_test.go
@@ -0,0 +1,146 @@
+package engines
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+
+	"dunereach/brain"
+	"dunereach/internal/script"
+	"dunereach/internal/sockets"
+)
+
+// yard plays the pool's owner and the connections.
+type yard struct {
+	say   script.Say
+	pool  *Pool
+	jobs  map[uint32]*Job
+	lines []*wire
+}
+
+// wire stands in for a connection. While it is stalled nothing that is appended leaves.
+type wire struct {
+	yard          *yard
+	n             int
+	sink          sockets.Sink
+	queued, begun int64
+	stalled, over bool
+}
+
+func (w *wire) Append(b []byte) int64 {
+	from := w.queued
+	if w.queued += int64(len(b)); !w.stalled {
+		w.begun = w.queued
+	}
+	w.yard.say("line %d writes %q", w.n, b)
+	return from
+}
+func (w *wire) Begun(from int64) bool { return from < w.begun }
+func (w *wire) Finish()               { w.end("finishes") }
+func (w *wire) Drop()                 { w.end("is dropped") }
+func (w *wire) Bad()                  { w.end("is dropped, unreadable") }
+func (w *wire) end(how string) {
+	if !w.over {
+		w.over = true
+		w.yard.say("line %d %s", w.n, how)
+	}
+}
+
+var ends = [...]string{"answered", "errored", "turned away", "timed out", "unreachable", "cut", "cancelled", "moot"}
+
+func (y *yard) Ended(j *Job, end brain.End) {
+	text := make([]string, len(j.Pages))
+	for k, p := range j.Pages {
+		text[k] = string(p)
+	}
+	y.say("%d/%d %s %q work %g memory %g", j.ID, j.Number, ends[end], strings.Join(text, ""), j.Work, j.Memory)
+}
+func (y *yard) Noted(j *Job, kind brain.NoteKind, value float64) {
+	y.say("%d/%d note %d %g", j.ID, j.Number, kind, value)
+}
+func (y *yard) Lost(engine uint32, how sockets.Ending) { y.say("engine %d lost: %v", engine, how) }
+
+func start(pieces bool) func(*testing.T, script.Say) func([]string) {
+	return func(t *testing.T, say script.Say) func([]string) {
+		y := &yard{say: say, jobs: map[uint32]*Job{}}
+		y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30}, func(a netip.AddrPort, sink sockets.Sink) Line {
+			w := &wire{yard: y, n: len(y.lines) + 1, sink: sink}
+			y.lines = append(y.lines, w)
+			say("line %d dials %v", w.n, a)
+			return w
+		})
+		return func(w []string) { y.step(t, w, pieces) }
+	}
+}
+
+func number(t *testing.T, s string) uint32 {
+	n, err := strconv.ParseUint(s, 10, 32)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return uint32(n)
+}
+
+func (y *yard) step(t *testing.T, w []string, pieces bool) {
+	now, err := strconv.ParseFloat(w[0], 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	y.pool.At(now)
+	defer y.pool.Settle()
+	switch w[1] {
+	case "list": // engine=state, at the address that its number tells
+		var list []brain.Entry
+		for _, e := range w[2:] {
+			n, state, _ := strings.Cut(e, "=")
+			list = append(list, brain.Entry{Engine: number(t, n),
+				State: map[string]brain.State{"ready": brain.Ready, "drains": brain.Draining}[state]})
+		}
+		y.pool.Members(list, func(n uint32) netip.AddrPort {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 4100)
+		})
+	case "send": // id engine until
+		j := y.jobs[number(t, w[2])]
+		if j == nil {
+			j = &Job{ID: number(t, w[2]), Number: -1, Profile: "report", Statement: []byte("SELECT 1"), Level: 1}
+			copy(j.Ref[:], "00000000000000"+w[2])
+			y.jobs[j.ID] = j
+		}
+		j.Number++
+		j.Engine, j.At = number(t, w[3]), now
+		j.Until, _ = strconv.ParseFloat(w[4], 64)
+		y.pool.Send(j)
+	case "give-up":
+		y.pool.GiveUp(y.jobs[number(t, w[2])], brain.TimedOut)
+	case "unwanted":
+		y.jobs[number(t, w[2])].Unwanted = true
+	case "renice":
+		j := y.jobs[number(t, w[2])]
+		j.Level = int(number(t, w[3]))
+		y.pool.Renice(j)
+	case "tidy":
+		y.pool.Tidy()
+	case "up":
+		y.lines[number(t, w[2])-1].sink.Up()
+	case "stalled":
+		y.lines[number(t, w[2])-1].stalled = true
+	case "says": // line, words with ID of which "@7" is written out, and | for a line's end
+		text := strings.NewReplacer("@", "00000000000000", "|", "\r\n").Replace(strings.Join(w[3:], " "))
+		for size := len(text); len(text) > 0; text = text[size:] {
+			if pieces {
+				size = 1
+			}
+			y.lines[number(t, w[2])-1].sink.Feed([]byte(text[:size]))
+		}
+	case "ends":
+		how := map[string]sockets.Ending{"refused": sockets.Refused, "never-up": sockets.NeverUp,
+			"finished": sockets.Finished, "reset": sockets.Reset, "closed": sockets.Closed}
+		y.lines[number(t, w[2])-1].sink.Ended(how[w[3]])
+	default:
+		t.Fatalf("%q", w)
+	}
+}
+
+// TestScripts plays each script with what engines say in one piece, and byte by byte.
+func TestScripts(t *testing.T) { script.Play(t, start(false), start(true)) }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 
 	"dunereach/internal/sockets"
@@ -29,7 +31,7 @@
 
 // Line is where a session's bytes go.
 type Line interface {
-	Append(add func(b []byte) []byte) int64
+	Append(b []byte) int64
 	Finish()
 	Drop()
 	Bad()
@@ -37,21 +39,32 @@
 
 // Session is one client's connection.
 type Session struct {
-	Line   Line
-	desk   Desk
-	frames thrift.Frames
-	open   map[int32]uint32 // commands by the sequence number of their call
-	half   bool             // the client has said its last
-	last   bool             // closes once nothing is open
+	Line    Line
+	desk    Desk
+	frames  thrift.Frames
+	scratch *[]byte
+	open    map[int32]uint32 // commands by the sequence number of their call
+	idle    int              // ticks since anything came
+	half    bool             // the client has said its last
+	last    bool             // closes once nothing is open
+	broken  bool             // what came can't be read
 }
 
-func NewSession(desk Desk) *Session { return &Session{desk: desk, open: map[int32]uint32{}} }
+// NewSession is a session at a desk. The scratch is where answers are put together, one after the other.
+func NewSession(desk Desk, scratch *[]byte) *Session {
+	return &Session{desk: desk, scratch: scratch, open: map[int32]uint32{}}
+}
 
 func (s *Session) Up() {}
 
 // Feed takes bytes as they come.
 func (s *Session) Feed(b []byte) {
+	if s.broken { // what was on its way when the connection was given up
+		return
+	}
+	s.idle = 0
 	if err := s.frames.Feed(b, s.frame); err != nil {
+		s.broken = true
 		s.desk.Bad(s, err.Error())
 		s.Line.Bad()
 	}
@@ -64,7 +77,8 @@
 		s.rest()
 		return
 	}
-	for seq, id := range s.open {
+	for _, seq := range slices.Sorted(maps.Keys(s.open)) { // in order: equal input must act alike
+		id := s.open[seq]
 		delete(s.open, seq)
 		s.desk.Left(id)
 	}
@@ -77,6 +91,13 @@
 	s.rest()
 }
 
+// Idle counts a tick, and closes the connection after so many on which nothing came and nothing was open.
+func (s *Session) Idle(ticks int) {
+	if s.idle++; s.idle >= ticks {
+		s.Last()
+	}
+}
+
 func (s *Session) rest() {
 	if (s.half || s.last) && len(s.open) == 0 {
 		s.Line.Finish()
@@ -189,9 +210,9 @@
 		}
 		copy(a.Ref[:], value)
 	case "allow":
-		a.Allow, ok = number(value, 1e-3)
+		a.Allow, ok = number(value, 1000)
 	case "effort":
-		a.Effort, ok = number(value, 1e-3)
+		a.Effort, ok = number(value, 1000)
 	case "memory":
 		a.Memory, ok = number(value, 1)
 	}
@@ -200,41 +221,30 @@
 
 func number(b []byte, unit float64) (float64, bool) {
 	v, err := strconv.ParseFloat(string(b), 64)
-	return v * unit, err == nil && v >= 0 && v < 1e12
+	return v / unit, err == nil && v >= 0 && v < 1e12
 }
 
 // Answered passes a whole result on: the pages as they came.
 func (s *Session) Answered(seq int32, pages [][]byte) {
-	s.closeCall(seq)
+	delete(s.open, seq)
 	s.reply("call", seq, pages, true)
 	s.rest()
 }
 
 func (s *Session) reply(name string, seq int32, pages [][]byte, good bool) {
-	s.Line.Append(func(b []byte) []byte {
-		from, size := len(b), 0
-		for _, p := range pages {
-			size += len(p)
-		}
-		b = thrift.Begin(b, thrift.Reply, name, seq)
-		b = thrift.AppendField(b, thrift.Struct, 0)
-		b = thrift.AppendSize(thrift.AppendField(b, thrift.String, 1), size)
-		for _, p := range pages {
-			b = append(b, p...)
-		}
-		b = thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 2))
-		b = append(thrift.AppendField(b, thrift.Bool, 3), truth(good))
-		b = append(b, byte(thrift.Stop), byte(thrift.Stop))
-		thrift.End(b, from, 0)
-		return b
-	})
-}
-
-func truth(v bool) byte {
-	if v {
-		return 1
+	size := 0
+	for _, p := range pages {
+		size += len(p)
+	}
+	b := thrift.Begin(*s.scratch, thrift.Reply, name, seq)
+	b = thrift.AppendField(b, thrift.Struct, 0)
+	b = thrift.AppendSize(thrift.AppendField(b, thrift.String, 1), size)
+	for _, p := range pages {
+		b = append(b, p...)
 	}
-	return 0
+	b = thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 2))
+	b = thrift.AppendBool(thrift.AppendField(b, thrift.Bool, 3), good)
+	s.write(thrift.End(append(b, byte(thrift.Stop))))
 }
 
 // Shed refuses: a retry is harmless, best after the pause.
@@ -250,21 +260,19 @@
 func (s *Session) Failed(seq int32) { s.exception(seq, 2) }
 
 func (s *Session) exception(seq int32, field uint16, pairs ...string) {
-	s.closeCall(seq)
-	s.Line.Append(func(b []byte) []byte {
-		from := len(b)
-		b = thrift.Begin(b, thrift.Reply, "call", seq)
-		b = thrift.AppendField(b, thrift.Struct, field)
-		b = thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 1), pairs...)
-		b = append(b, byte(thrift.Stop), byte(thrift.Stop))
-		thrift.End(b, from, 0)
-		return b
-	})
+	delete(s.open, seq)
+	b := thrift.Begin(*s.scratch, thrift.Reply, "call", seq)
+	b = thrift.AppendField(b, thrift.Struct, field)
+	b = thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 1), pairs...)
+	s.write(thrift.End(append(b, byte(thrift.Stop))))
 	s.rest()
 }
 
 func (s *Session) except(name string, seq int32, kind int32, text string) {
-	s.Line.Append(func(b []byte) []byte { return thrift.AppendException(b, name, seq, kind, text) })
+	s.write(thrift.Except(*s.scratch, name, seq, kind, text))
 }
 
-func (s *Session) closeCall(seq int32) { delete(s.open, seq) }
+func (s *Session) write(b []byte) {
+	*s.scratch = b
+	s.Line.Append(b)
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,153 @@
+package front
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"dunereach/internal/script"
+	"dunereach/internal/sockets"
+	"dunereach/internal/thrift"
+)
+
+// desk takes every command, numbered from 1, and is the connection too.
+type desk struct {
+	say   script.Say
+	s     *Session
+	last  uint32
+	ready bool
+}
+
+func (d *desk) Take(s *Session, seq int32, a *Ask) {
+	d.last++
+	s.Hold(seq, d.last)
+	d.say("takes %d: call %d ref %s profile %s tenant %s allow %g effort %g memory %g, %q", d.last, seq, a.Ref, a.Profile,
+		a.Tenant, a.Allow, a.Effort, a.Memory, a.Statement)
+}
+func (d *desk) Left(id uint32)             { d.say("%d left", id) }
+func (d *desk) Ready() bool                { return d.ready }
+func (d *desk) Bad(_ *Session, how string) { d.say("bad: %s", how) }
+func (d *desk) Closed(*Session)            { d.say("closed") }
+func (d *desk) Finish()                    { d.say("finishes") }
+func (d *desk) Drop()                      { d.say("drops") }
+func (d *desk) Append(b []byte) int64 {
+	r := thrift.NewReader(b[4:])
+	kind, name, seq := r.Message()
+	d.say("answers %d/%d %s%s", kind, seq, name, show(&r, thrift.Struct))
+	return 0
+}
+
+// show prints a value of the wire.
+func show(r *thrift.Reader, t thrift.Type) (s string) {
+	switch t {
+	case thrift.Struct:
+		for t, id := r.Field(); t != thrift.Stop; t, id = r.Field() {
+			s += fmt.Sprintf(" %d=%s", id, show(r, t))
+		}
+		return "{" + s + " }"
+	case thrift.Map:
+		for _, _, n := r.Pairs(); n > 0; n-- {
+			s += fmt.Sprintf(" %s=%s", r.Bytes(), r.Bytes())
+		}
+		return "[" + s + " ]"
+	case thrift.Bool:
+		return fmt.Sprint(r.U8())
+	case thrift.I32:
+		return fmt.Sprint(r.I32())
+	}
+	return fmt.Sprintf("%q", r.Bytes())
+}
+
+func start(pieces bool) func(*testing.T, script.Say) func([]string) {
+	return func(t *testing.T, say script.Say) func([]string) {
+		d := &desk{say: say, ready: true}
+		var scratch []byte
+		d.s = NewSession(d, &scratch)
+		d.s.Line = bad{d}
+		return func(w []string) { d.step(t, w, pieces) }
+	}
+}
+
+type bad struct{ *desk }
+
+func (b bad) Bad() { b.say("drops, unreadable") }
+
+func (d *desk) step(t *testing.T, w []string, pieces bool) {
+	seq := int32(0)
+	if len(w) > 1 {
+		n, _ := strconv.Atoi(w[1])
+		seq = int32(n)
+	}
+	var frame []byte
+	switch w[0] {
+	case "call": // seq name=value... "body" last; a word with # is a field nobody knows
+		body := w[len(w)-1]
+		frame = thrift.Begin(nil, thrift.Call, "call", seq)
+		frame = thrift.AppendBytes(thrift.AppendField(frame, thrift.String, 2), body) // fields in any order
+		var pairs []string
+		for _, p := range w[2 : len(w)-1] {
+			if p == "#" {
+				frame = thrift.AppendField(frame, thrift.List, 9)
+				frame = append(frame, byte(thrift.Struct), 0, 0, 0, 1, byte(thrift.Double), 0, 1, 1, 2, 3, 4, 5, 6, 7, 8, 0)
+				continue
+			}
+			k, v, _ := strings.Cut(p, "=")
+			pairs = append(pairs, k, v)
+		}
+		frame = thrift.End(thrift.AppendPairs(thrift.AppendField(frame, thrift.Map, 1), pairs...))
+	case "cancel":
+		frame = thrift.Begin(nil, thrift.Oneway, "cancel", 0)
+		frame = thrift.End(append(thrift.AppendField(frame, thrift.I32, 1), 0, 0, 0, byte(seq)))
+	case "health", "unknown":
+		frame = thrift.End(thrift.AppendBool(thrift.AppendField(thrift.Begin(nil, thrift.Call, w[0], seq), thrift.Bool, 1), true))
+	case "raw":
+		b, err := hex.DecodeString(strings.Join(w[1:], ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		frame = b
+	case "again": // on another connection
+		d.s = NewSession(d, d.s.scratch)
+		d.s.Line = bad{d}
+	case "ready":
+		d.ready = w[1] == "yes"
+	case "answered":
+		d.s.Answered(seq, [][]byte{[]byte("a\tb\n"), []byte("c\td\n")})
+	case "shed":
+		d.s.Shed(seq, 0.25)
+	case "shed-now":
+		d.s.Shed(seq, 0)
+	case "failed":
+		d.s.Failed(seq)
+	case "idle":
+		d.s.Idle(2)
+	case "ends":
+		d.s.Ended(map[string]sockets.Ending{"finished": sockets.Finished, "reset": sockets.Reset}[w[1]])
+	default:
+		t.Fatalf("%q", w)
+	}
+	for size := len(frame); len(frame) > 0; frame = frame[size:] {
+		if pieces {
+			size = 1
+		}
+		d.s.Feed(frame[:size])
+	}
+}
+
+// TestScripts plays each script with frames in one piece, and byte by byte.
+func TestScripts(t *testing.T) { script.Play(t, start(false), start(true)) }
+
+// FuzzFeed: nothing that comes may panic, or be taken for more than it is.
+func FuzzFeed(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x10\x80\x01\x00\x01\x00\x00\x00\x04call\x00\x00\x00\x01\x00"))
+	f.Add([]byte("\x00\x00\x00\x1b\x80\x01\x00\x01\x00\x00\x00\x04call\x00\x00\x00\x01\x0f\x00\x01\x0f\xff\xff\xff\xff\x0f\x00\x00"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d := &desk{say: func(string, ...any) {}}
+		var scratch []byte
+		d.s = NewSession(d, &scratch)
+		d.s.Line = bad{d}
+		d.s.Feed(b)
+	})
+}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -10,7 +10,7 @@
 
 const (
 	maxLine = 1024     // an id, a word and some fields are far under it
-	maxBody = 64 << 10 // a page has 6,000 bytes at most
+	maxBody = 16 << 10 // a page has 6,000 bytes at most
 )
 
 // Answer is one answer of an engine; its bytes are good for the call that gets it only.
@@ -22,8 +22,14 @@
 // Parser cuts a stream of bytes into answers. It keeps bytes of an unfinished answer only.
 type Parser struct{ kept []byte }
 
-// Feed calls each with every answer that is whole now.
-func (p *Parser) Feed(b []byte, each func(Answer)) error {
+// Reader takes answers.
+type Reader interface {
+	// Answer takes one; its false means that it can't be right, and nothing more is read.
+	Answer(a Answer) bool
+}
+
+// Feed calls the reader with every answer that is whole now.
+func (p *Parser) Feed(b []byte, to Reader) error {
 	if len(p.kept) > 0 {
 		p.kept = append(p.kept, b...)
 		b = p.kept
@@ -36,7 +42,9 @@
 		if n == 0 {
 			break
 		}
-		each(a)
+		if !to.Answer(a) {
+			return ErrGarbled
+		}
 		b = b[n:]
 	}
 	p.kept = append(p.kept[:0], b...)
@@ -102,7 +110,7 @@
 	return n, true
 }
 
-// The writers append one command each.
+// The writers append one message each.
 
 // Fetch asks for a query to be run. Priority 1 is what goes without saying.
 func Fetch(b, id []byte, kind string, wait, priority int, statement []byte) []byte {
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,62 @@
+// Package logs makes the router's log: lines of JSON for the people on call, bounded on a bad day. It never
+// makes the one who logs wait.
+package logs
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Writer passes lines on from a goroutine of its own. Lines that find no room are dropped and counted.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewWriter has room for some lines: what a bad second brings after sampling.
+func NewWriter() *Writer { return &Writer{lines: make(chan []byte, 256)} }
+
+func (w *Writer) Write(b []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), b...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// Dropped is how many lines found no room.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Run writes lines until the context ends, and then those that wait.
+func (w *Writer) Run(ctx context.Context, out io.Writer) {
+	for {
+		select {
+		case b := <-w.lines:
+			out.Write(b)
+		case <-ctx.Done():
+			for {
+				select {
+				case b := <-w.lines:
+					out.Write(b)
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
+// New is a logger of JSON lines. Of lines with the same message a second's first ten are kept, then each
+// hundredth: an engine's restart cuts that many connections, a storm of bad clients sends far more.
+func New(w io.Writer) *zap.Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.AddSync(w), zap.InfoLevel)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 10, 100))
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -2,7 +2,10 @@
 package members
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/netip"
@@ -38,6 +41,8 @@
 	BootMs   float64 `json:"boot_ms"`
 }
 
+var errNotAsked = errors.New("an answer to no question of ours")
+
 // Known is all that was told before the start.
 type Known struct {
 	Rev     uint32            `json:"rev"`
@@ -52,6 +57,8 @@
 	names        map[uint32]string
 	addrs        map[uint32]netip.AddrPort
 	list         []brain.Entry
+	asked        [8]uint16 // ids of the last questions, for answers that are slow
+	next         int
 }
 
 func New(zones, kinds []string) *Follower {
@@ -137,8 +144,24 @@
 // Rev is the number of the last event taken in.
 func (f *Follower) Rev() uint32 { return f.rev }
 
-// Take takes in an answer; fresh is false where the list in hand is as new.
-func (f *Follower) Take(l dns.List) (fresh bool, err error) {
+// Question asks for the list. The id is by chance, since who guesses it could answer in the server's place.
+func (f *Follower) Question(b []byte) []byte {
+	var id [2]byte
+	rand.Read(id[:])
+	f.asked[f.next%len(f.asked)] = binary.BigEndian.Uint16(id[:])
+	f.next++
+	return dns.Query(b, binary.BigEndian.Uint16(id[:]), Record)
+}
+
+// Answer takes in what the name server sends; fresh is false where the list in hand is as new.
+func (f *Follower) Answer(msg []byte) (fresh bool, err error) {
+	l, err := dns.Parse(msg, Record)
+	if err != nil {
+		return false, err
+	}
+	if k := slices.Index(f.asked[:min(f.next, len(f.asked))], l.ID); k < 0 {
+		return false, errNotAsked
+	}
 	if l.Serial <= f.rev { // events are counted from 1 at each start: the number never wraps
 		return false, nil
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,10 @@
 package router
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
+
 	"dunereach/brain"
 	"dunereach/internal/engines"
 	"dunereach/internal/front"
@@ -55,6 +59,8 @@
 func New(set settings.Settings, budget int, log *zap.Logger, names func(uint32) string) *Router {
 	r := &Router{set: set, log: log, names: names, budget: budget, cmds: map[uint32]*command{},
 		profs: map[string]int{}, tens: map[string]int{}}
+	// What needs probes, word from other routers or asking for the list is not there: the list comes unasked.
+	r.set.Brain.Peers, r.set.Brain.ProbeLoads, r.set.Brain.Ask = false, false, false
 	for k, name := range set.Profiles {
 		r.profs[name] = k
 	}
@@ -105,7 +111,6 @@
 		}
 		r.pool.Settle()
 	}
-	r.pool.Tidy()
 	if len(r.timers) == 0 {
 		return r.now + 1
 	}
@@ -132,7 +137,7 @@
 		return
 	}
 	// The settings' bound, and one on memory: what passes them never reaches the module.
-	if r.owed >= r.set.Open || r.held+len(a.Statement) > r.budget {
+	if r.set.Open > 0 && r.owed >= r.set.Open || r.held+len(a.Statement) > r.budget {
 		r.log.Warn("too much in hand", zap.Int("commands", r.owed), zap.Int("bytes", r.held))
 		s.Shed(seq, 0)
 		return
@@ -145,6 +150,9 @@
 	}
 	for r.lastID++; r.cmds[r.lastID] != nil || r.lastID == 0; r.lastID++ {
 	}
+	if r.set.Longest > 0 { // no client waits longer, and nothing may be kept for longer
+		a.Allow = min(a.Allow, r.set.Longest)
+	}
 	*c = command{id: r.lastID, session: s, seq: seq, profile: profile, dueBy: r.now + a.Allow, level: noPriority,
 		statement: append(c.statement[:0], a.Statement...), job: engines.Job{Pages: c.job.Pages}}
 	c.job.Ref = a.Ref
@@ -270,14 +278,21 @@
 	r.timers.push(timer{at: r.now + max(after, 0), what: wake, token: token})
 }
 
-// The settings of this deployment have neither probes nor other routers to talk to, and the list comes unasked.
+// These come only where the settings, as New leaves them, have probes, other routers to talk to or a list that
+// must be asked for.
 
 func (r *Router) Probe(uint32)     {}
 func (r *Router) Tell(int, []byte) {}
 func (r *Router) Watch(bool)       {}
 
-// Log writes the module's line, with engines under their own names.
-func (r *Router) Log(text string) { r.log.Info(text) }
+// Log writes the module's line, with an engine's number as its name.
+func (r *Router) Log(text string) {
+	var n uint32
+	if _, err := fmt.Sscanf(text, "engine %d", &n); err == nil && r.names(n) != "" {
+		text = strings.Replace(text, strconv.Itoa(int(n)), r.names(n), 1)
+	}
+	r.log.Info(text)
+}
 
 // timers is a heap by time.
 type timers []timer
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -12,7 +10,6 @@
 
 	"dunereach/brain"
 	"dunereach/internal/config"
-	"dunereach/internal/dns"
 	"dunereach/internal/engines"
 	"dunereach/internal/front"
 	"dunereach/internal/members"
@@ -42,21 +39,21 @@
 	clock    clock
 	log      *zap.Logger
 	list     *members.Follower
+	net      *sockets.Net
 	inbox    sockets.Inbox
 	arrivals chan net.Conn
-	sessions map[*front.Session]*sockets.Conn
 	answers  chan []byte // datagrams of the name server
-	asked    uint16
 	ask      *net.UDPConn
-	group    *errgroup.Group
 	ctx      context.Context
+	sessions map[*front.Session]struct{}
+	scratch  []byte // answers are put together here
 }
 
 // Serve runs a router until the context ends it at once, or a stop ends it once all is answered.
-func Serve(ctx context.Context, cfg config.Config, stop <-chan struct{}, log *zap.Logger) error {
+func Serve(ctx context.Context, stop <-chan struct{}, cfg config.Config, log *zap.Logger) error {
 	s := &service{cfg: cfg, clock: newClock(), log: log, list: members.New(cfg.Settings.Zones, cfg.Settings.Kinds),
-		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), sessions: map[*front.Session]*sockets.Conn{},
-		answers: make(chan []byte)}
+		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), answers: make(chan []byte),
+		sessions: map[*front.Session]struct{}{}}
 	if err := s.list.Start(cfg.Known); err != nil {
 		return err
 	}
@@ -69,17 +66,25 @@
 		return fmt.Errorf("name server: %v", err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s.group, ctx = errgroup.WithContext(ctx)
-	s.ctx = sockets.WithOwner(ctx)
-	s.group.Go(func() error { return s.accept(listener) })
-	s.group.Go(func() error { return s.hear() })
-	s.group.Go(func() error {
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	s.ctx = ctx
+	memory := int64(cfg.Limits.MemoryMB * (1 << 20))
+	if memory == 0 {
+		memory = 4 << 30
+	}
+	// A quarter of the memory for answers on their way out, and one for statements in hand.
+	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4)
+	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
+	group.Go(func() error { return s.accept(listener) })
+	group.Go(func() error { return s.hear() })
+	group.Go(func() error {
 		defer cancel()
 		defer s.ask.Close()
 		defer listener.Close()
 		return s.own(stop, listener)
 	})
-	return s.group.Wait()
+	return group.Wait()
 }
 
 // accept hands on connections of clients, and survives a lack of descriptors.
@@ -138,12 +143,6 @@
 	if s.cfg.Limits.Sockets == 0 {
 		third = 4096
 	}
-	// Statements in hand take a quarter of the memory at most, the rest is for results and the runtime.
-	budget := int(s.cfg.Limits.MemoryMB * (1 << 20) / 4)
-	if budget == 0 {
-		budget = 1 << 30
-	}
-	s.Router = New(s.cfg.Settings, budget, s.log, s.list.Name)
 	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: third,
 		Idle: s.cfg.Settings.ConnIdle}, s.dial)
 	s.Router.Start(s.clock.now(), pool)
@@ -156,6 +155,8 @@
 	const askEvery = 300 * time.Millisecond
 	asking := time.NewTicker(askEvery)
 	defer asking.Stop()
+	tidying := time.NewTicker(time.Second)
+	defer tidying.Stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var ended <-chan time.Time
@@ -167,7 +168,9 @@
 		case nc := <-s.arrivals:
 			s.arrive(nc, 2*third)
 		case <-asking.C:
-			s.question()
+			s.ask.Write(s.list.Question(nil)) // a lost one is asked again
+		case <-tidying.C:
+			s.tidy()
 		case msg := <-s.answers:
 			s.answer(msg)
 		case <-timer.C:
@@ -189,7 +192,6 @@
 		next := s.Tick(s.clock.now())
 		timer.Reset(time.Duration(max(next-s.clock.now(), 0) * 1e9))
 		if closing && len(s.sessions) == 0 {
-			s.log.Info("ended")
 			return nil
 		}
 	}
@@ -203,11 +205,20 @@
 	}
 	// 32 open calls have 1.5 MB of results at most.
 	const limit = 2 << 20
-	c := front.NewSession(s)
-	line := sockets.New(c, s.inbox, limit)
+	c := front.NewSession(s, &s.scratch)
+	line := s.net.New(c, limit)
 	c.Line = line
-	s.sessions[c] = line
-	line.Start(s.ctx, s.group, nc)
+	s.sessions[c] = struct{}{}
+	line.Start(nc)
+}
+
+// tidy closes connections that nothing has come on for long, of clients as of engines.
+func (s *service) tidy() {
+	const ticks = 60 // seconds: clients close idle ones after 4 s; what stays that long was forgotten
+	for c := range s.sessions {
+		c.Idle(ticks)
+	}
+	s.pool.Tidy()
 }
 
 func (s *service) Closed(c *front.Session) { delete(s.sessions, c) }
@@ -215,28 +226,17 @@
 func (s *service) dial(addr netip.AddrPort, sink sockets.Sink) engines.Line {
 	// A hundred statements; an engine that takes nothing for longer is as good as silent.
 	const limit = 4 << 20
-	line := sockets.New(sink, s.inbox, limit)
-	line.Dial(s.ctx, s.group, addr.String(), time.Duration(s.cfg.Settings.ConnectTimeout*1e9))
+	line := s.net.New(sink, limit)
+	line.Dial(addr.String(), time.Duration(s.cfg.Settings.ConnectTimeout*1e9))
 	return line
 }
 
-// question asks the name server for the list.
-func (s *service) question() {
-	var id [2]byte
-	rand.Read(id[:])
-	s.asked = binary.BigEndian.Uint16(id[:])
-	s.ask.Write(dns.Query(nil, s.asked, members.Record)) // a lost one is asked again
-}
-
 func (s *service) answer(msg []byte) {
-	l, err := dns.Parse(msg, s.asked, members.Record)
-	fresh := false
-	if err == nil {
-		fresh, err = s.list.Take(l)
-	}
+	fresh, err := s.list.Answer(msg)
 	if err != nil {
 		s.log.Warn("list of engines", zap.Error(err))
-	} else if fresh {
+	}
+	if fresh {
 		s.log.Info("list of engines", zap.Uint32("rev", s.list.Rev()), zap.Int("engines", len(s.list.List())))
 		s.members(brain.Full)
 	}
--- /dev/null
+++ b/internal/script/script.go
@@ -0,0 +1,63 @@
+// Package script is the tests' way of keeping traces: scripts in testdata whose indented lines are what the
+// code did when the line above was played.
+package script
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read the difference before you keep it")
+
+// Say prints what was done.
+type Say func(format string, a ...any)
+
+// Play plays all scripts of testdata, each way that start is given, and compares with what is kept. start makes
+// what plays one line.
+func Play(t *testing.T, starts ...func(t *testing.T, say Say) (step func(words []string))) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, file := range files {
+		kept, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n, start := range starts {
+			t.Run(fmt.Sprint(filepath.Base(file), n), func(t *testing.T) {
+				got := play(t, string(kept), start)
+				if *update && n == 0 {
+					kept = []byte(got)
+					if err := os.WriteFile(file, kept, 0o644); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if diff := cmp.Diff(string(kept), got); diff != "" {
+					t.Errorf("it acts otherwise (-kept +now):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+func play(t *testing.T, text string, start func(*testing.T, Say) func([]string)) string {
+	var out strings.Builder
+	step := start(t, func(format string, a ...any) { fmt.Fprintf(&out, "    "+format+"\n", a...) })
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, " ") {
+			continue
+		}
+		out.WriteString(line)
+		if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
+			step(strings.Fields(line))
+		}
+	}
+	return out.String()
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,23 +29,24 @@
 )
 
 func (e Ending) String() string {
-	return [...]string{"refused", "never came up", "finished", "was reset", "does not read", "closed", "can't be read"}[e]
+	return [...]string{"refused", "never came up", "finished", "reset", "does not read", "closed", "can't be read"}[e]
 }
 
 // Sink takes what comes off a connection. All its methods are called by the owner's goroutine.
 type Sink interface {
 	Up()              // a connection that was dialled is there
 	Feed(b []byte)    // the bytes are good for this call only
-	Ended(how Ending) // the last call, but for Finished, which may be followed by another end
+	Ended(how Ending) // the last call; Finished is followed by another, once this side has ended too
 }
 
 // Inbox is how readers reach the owner. Each connection has one entry under way at most.
 type Inbox chan Entry
 
+// Entry is a call on a sink.
 type Entry struct {
 	sink  Sink
-	data  []byte
 	what  uint8
+	data  []byte
 	how   Ending
 	taken chan<- struct{}
 }
@@ -55,127 +57,125 @@
 	isEnd
 )
 
-// Deliver runs an entry. Only the owner calls it.
+// Deliver makes the call. Only the owner does.
 func (e Entry) Deliver() {
 	switch e.what {
 	case isUp:
 		e.sink.Up()
 	case isData:
 		e.sink.Feed(e.data)
+		e.taken <- struct{}{}
 	case isEnd:
 		e.sink.Ended(e.how)
 	}
-	if e.taken != nil {
-		e.taken <- struct{}{}
+}
+
+// Net is what connections share: who owns them, and the memory for what waits to go out.
+type Net struct {
+	ctx   context.Context // over: nobody takes entries any more
+	group *errgroup.Group
+	inbox Inbox
+	room  int64
+	used  atomic.Int64
+}
+
+// NewNet runs connections in a group until the context ends; room is the bytes that may wait in all of them.
+func NewNet(ctx context.Context, group *errgroup.Group, inbox Inbox, room int64) *Net {
+	return &Net{ctx: ctx, group: group, inbox: inbox, room: room}
+}
+
+func (n *Net) post(e Entry) {
+	select {
+	case n.inbox <- e:
+	case <-n.ctx.Done():
 	}
 }
 
 // Conn is one connection.
 type Conn struct {
+	net   *Net
 	sink  Sink
-	inbox Inbox
 	limit int
 	kick  chan struct{}
+	ctx   context.Context
 	quit  context.CancelCauseFunc
 
-	mu        sync.Mutex
-	out       []byte
-	queued    int64 // bytes ever appended
-	begun     int64 // of those, bytes that a write was begun with
-	finish    bool
-	overflown bool
+	mu     sync.Mutex
+	out    []byte
+	queued int64 // bytes ever appended
+	begun  int64 // of those, bytes that a write was begun with
+	finish bool
 }
 
-// errClosed and errGarbled say why this side ended a connection.
 var errClosed, errGarbled, errStuffed = errors.New("closed"), errors.New("garbled"), errors.New("stuffed")
 
 // New is a connection that Start or Dial brings to life. More than limit bytes that don't go out end it.
-func New(sink Sink, inbox Inbox, limit int) *Conn {
-	return &Conn{sink: sink, inbox: inbox, limit: limit, kick: make(chan struct{}, 1), quit: func(error) {}}
+func (n *Net) New(sink Sink, limit int) *Conn {
+	c := &Conn{net: n, sink: sink, limit: limit, kick: make(chan struct{}, 1)}
+	c.ctx, c.quit = context.WithCancelCause(n.ctx)
+	return c
 }
 
-// Start runs a connection that is up, until it or the context ends; group owns its goroutines.
-func (c *Conn) Start(ctx context.Context, group *errgroup.Group, nc net.Conn) {
-	ctx, c.quit = context.WithCancelCause(ctx)
-	group.Go(func() error { c.run(ctx, nc, 4<<10); return nil })
+// Start runs a connection that is up, until it or the context ends.
+func (c *Conn) Start(nc net.Conn) {
+	c.net.group.Go(func() error { c.run(nc, 4<<10); return nil })
 }
 
-// Dial opens a connection.
-func (c *Conn) Dial(ctx context.Context, group *errgroup.Group, addr string, timeout time.Duration) {
-	ctx, c.quit = context.WithCancelCause(ctx)
-	group.Go(func() error {
-		d := net.Dialer{Timeout: timeout, KeepAlive: -1}
-		nc, err := d.DialContext(ctx, "tcp", addr)
+// Dial opens a connection and runs it.
+func (c *Conn) Dial(addr string, timeout time.Duration) {
+	c.net.group.Go(func() error {
+		d := net.Dialer{Timeout: timeout}
+		nc, err := d.DialContext(c.ctx, "tcp", addr)
 		if err != nil {
+			c.quit(err)
 			how := NeverUp
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				how = Refused
 			}
-			c.quit(err)
-			c.post(ctx, Entry{sink: c.sink, what: isEnd, how: how})
+			c.net.post(Entry{sink: c.sink, what: isEnd, how: how})
 			return nil
 		}
-		c.post(ctx, Entry{sink: c.sink, what: isUp})
-		c.run(ctx, nc, 16<<10)
+		c.net.post(Entry{sink: c.sink, what: isUp})
+		c.run(nc, 16<<10)
 		return nil
 	})
 }
 
-// post hands an entry over. An owner that has ended takes none: its context is over before.
-func (c *Conn) post(ctx context.Context, e Entry) {
-	select {
-	case c.inbox <- e:
-	case <-parent(ctx):
-	}
-}
-
-type parentKey struct{}
-
-// WithOwner marks the context whose end means that nobody takes entries any more.
-func WithOwner(ctx context.Context) context.Context { return context.WithValue(ctx, parentKey{}, ctx) }
-
-func parent(ctx context.Context) <-chan struct{} {
-	if p, ok := ctx.Value(parentKey{}).(context.Context); ok {
-		return p.Done()
-	}
-	return ctx.Done()
-}
-
-func (c *Conn) run(ctx context.Context, nc net.Conn, size int) {
-	if t, ok := nc.(*net.TCPConn); ok {
-		t.SetLinger(-1)
-	}
-	stop := context.AfterFunc(ctx, func() { nc.Close() })
+func (c *Conn) run(nc net.Conn, size int) {
+	stop := context.AfterFunc(c.ctx, func() { nc.Close() })
 	defer stop()
-	var group errgroup.Group
-	group.Go(func() error { c.write(ctx, nc); return nil })
-	how := c.read(ctx, nc, size)
-	if how == Finished { // the other side may still read
-		c.post(ctx, Entry{sink: c.sink, what: isEnd, how: Finished})
-		group.Wait() // the writer ends by Finish, by a write that fails, or by the context
+	written := make(chan struct{})
+	go func() { c.write(nc); close(written) }() // ended below
+	how := c.read(nc, size)
+	if how == Finished {
+		c.net.post(Entry{sink: c.sink, what: isEnd, how: Finished})
+		<-written // by Finish, a write that fails, or the context
 		how = Closed
 	}
 	c.quit(errClosed)
-	group.Wait()
-	switch context.Cause(ctx) {
+	<-written
+	switch context.Cause(c.ctx) {
 	case errStuffed:
 		how = Stuffed
 	case errGarbled:
 		how = Garbled
 	}
-	nc.Close()
-	c.post(ctx, Entry{sink: c.sink, what: isEnd, how: how})
+	c.mu.Lock()
+	c.net.used.Add(-int64(len(c.out)))
+	c.out = nil
+	c.mu.Unlock()
+	c.net.post(Entry{sink: c.sink, what: isEnd, how: how})
 }
 
-func (c *Conn) read(ctx context.Context, nc net.Conn, size int) Ending {
+func (c *Conn) read(nc net.Conn, size int) Ending {
 	buf, taken := make([]byte, size), make(chan struct{}, 1)
 	for {
 		n, err := nc.Read(buf)
 		if n > 0 {
-			c.post(ctx, Entry{sink: c.sink, what: isData, data: buf[:n], taken: taken})
+			c.net.post(Entry{sink: c.sink, what: isData, data: buf[:n], taken: taken})
 			select {
 			case <-taken:
-			case <-parent(ctx):
+			case <-c.net.ctx.Done():
 				return Closed
 			}
 		}
@@ -183,7 +183,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			return Finished
-		case ctx.Err() != nil:
+		case c.ctx.Err() != nil:
 			return Closed
 		default:
 			return Reset
@@ -192,13 +192,14 @@
 }
 
 // write sends what was appended, with no lock held while it does.
-func (c *Conn) write(ctx context.Context, nc net.Conn) {
+func (c *Conn) write(nc net.Conn) {
 	const patience = 20 * time.Second // above every client timeout: nobody waits for what is stuck longer
+	const spared = 16 << 10           // bytes: a burst must not hold memory for the life of its connection
 	var spare []byte
 	for {
 		select {
 		case <-c.kick:
-		case <-ctx.Done():
+		case <-c.ctx.Done():
 			return
 		}
 		for {
@@ -214,38 +215,44 @@
 				break
 			}
 			nc.SetWriteDeadline(time.Now().Add(patience))
-			if _, err := nc.Write(out); err != nil {
-				if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
-					return // the reader learns it too, and what came before
-				}
+			_, err := nc.Write(out)
+			c.net.used.Add(-int64(len(out)))
+			if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+				nc.Close() // the reader ends by it too
+				return
+			} else if err != nil {
 				c.quit(errStuffed)
 				return
 			}
-			if cap(spare) > 64<<10 {
-				spare = nil // a burst must not hold memory for the life of its connection
+			if cap(spare) > spared {
+				spare = nil
 			}
 		}
 	}
 }
 
-// Append puts bytes behind those that are to go out; add appends to what it is given. It gives back where they
-// begin, for Begun. A connection that takes nothing is ended when its bound is passed.
-func (c *Conn) Append(add func(b []byte) []byte) (from int64) {
+// Append puts bytes behind those that are to go out, and gives back where they begin, for Begun. A connection
+// that takes nothing is ended when its bound is passed, or the bound of all together.
+func (c *Conn) Append(b []byte) (from int64) {
 	c.mu.Lock()
 	from = c.queued
-	was := len(c.out)
-	c.out = add(c.out)
-	c.queued += int64(len(c.out) - was)
-	over := len(c.out) > c.limit
-	c.mu.Unlock()
-	if over {
-		c.quit(errStuffed)
+	if c.ctx.Err() == nil {
+		c.out = append(c.out, b...)
+		c.queued += int64(len(b))
+		if c.net.used.Add(int64(len(b))) > c.net.room || len(c.out) > c.limit {
+			c.quit(errStuffed)
+		}
 	}
+	c.mu.Unlock()
+	c.wake()
+	return from
+}
+
+func (c *Conn) wake() {
 	select {
 	case c.kick <- struct{}{}:
 	default:
 	}
-	return from
 }
 
 // Begun tells whether any byte from a place on may have left.
@@ -260,10 +267,7 @@
 	c.mu.Lock()
 	c.finish = true
 	c.mu.Unlock()
-	select {
-	case c.kick <- struct{}{}:
-	default:
-	}
+	c.wake()
 }
 
 // Drop closes it at once.
--- a/internal/thrift/frames.go
+++ b/internal/thrift/frames.go
@@ -9,7 +9,7 @@
 )
 
 // MaxFrame bounds what one call may hold: a statement and some fields are far under it.
-const MaxFrame = 256 << 10
+const MaxFrame = 128 << 10
 
 var be = binary.BigEndian
 
@@ -190,17 +190,20 @@
 	}
 }
 
-// The writers append to a frame that Begin has opened and End closes.
-
+// Begin starts a message's frame in the place of what b held; the other writers append to it, and End ends it.
 func Begin(b []byte, kind Kind, name string, seq int32) []byte {
-	b = append(b, 0, 0, 0, 0)
+	b = append(b[:0], 0, 0, 0, 0)
 	b = be.AppendUint32(b, strict|uint32(kind))
 	b = AppendBytes(b, name)
 	return be.AppendUint32(b, uint32(seq))
 }
 
-// End writes the length of the frame that starts at from, of which more bytes will follow.
-func End(b []byte, from, more int) { be.PutUint32(b[from:], uint32(len(b)-from-4+more)) }
+// End ends the struct that a message is, and writes the length of its frame.
+func End(b []byte) []byte {
+	b = append(b, byte(Stop))
+	be.PutUint32(b, uint32(len(b)-4))
+	return b
+}
 
 func AppendField(b []byte, t Type, id uint16) []byte { return be.AppendUint16(append(b, byte(t)), id) }
 
@@ -211,6 +214,13 @@
 // AppendSize is the head of a string whose bytes come after.
 func AppendSize(b []byte, n int) []byte { return be.AppendUint32(b, uint32(n)) }
 
+func AppendBool(b []byte, v bool) []byte {
+	if v {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
 // AppendPairs is a map of strings.
 func AppendPairs(b []byte, pairs ...string) []byte {
 	b = append(b, byte(String), byte(String))
@@ -227,13 +237,10 @@
 	ProtocolError int32 = 7
 )
 
-// AppendException is a whole frame that ends a call without its service's answer.
-func AppendException(b []byte, name string, seq int32, kind int32, text string) []byte {
-	from := len(b)
+// Except is a whole frame that ends a call without its service's answer.
+func Except(b []byte, name string, seq int32, kind int32, text string) []byte {
 	b = Begin(b, Exception, name, seq)
 	b = AppendBytes(AppendField(b, String, 1), text)
 	b = be.AppendUint32(AppendField(b, I32, 2), uint32(kind))
-	b = append(b, byte(Stop))
-	End(b, from, 0)
-	return b
+	return End(b)
 }
