--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Where `make run` finds its configuration, and where it listens.
+CONFIG ?= deploy/example.json
+LISTEN ?= 127.0.0.1:4100
+
+.PHONY: build test lint run fuzz
+
+build:
+	mkdir -p bin
+	go build -buildvcs=false -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+lint:
+	@test -z "$$(gofmt -l brain cmd internal)" || { gofmt -l brain cmd internal; exit 1; }
+	go vet ./...
+
+run: build
+	BALANCER_NAME=local BALANCER_LISTEN=$(LISTEN) BALANCER_CONFIG=$(CONFIG) bin/dunereach
+
+# Ten seconds on each parser; what one finds is written to its testdata and stays a test.
+fuzz:
+	go test ./internal/front -fuzz FuzzFeed -fuzztime 10s
+	go test ./internal/lines -fuzz FuzzFeed -fuzztime 10s
+	go test ./internal/members -fuzz FuzzAnswer -fuzztime 10s
+	go test ./internal/statement -fuzz FuzzGroup -fuzztime 10s
--- a/cmd/dunereach/main.go
+++ b/cmd/dunereach/main.go
@@ -36,9 +36,10 @@
 	if mb := cfg.Limits.MemoryMB; mb > 0 { // the rest is for the kernel's buffers and the program itself
 		debug.SetMemoryLimit(int64(mb * (1 << 20) * 0.6))
 	}
-	// The first signal asks for an orderly end; a second one ends at once.
-	asked, again := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	context.AfterFunc(asked, again)
+	// The first signal asks for an orderly end, which more of SIGTERM don't disturb; a second interrupt ends at once.
+	asked, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer forget()
+	context.AfterFunc(asked, func() { signal.Reset(os.Interrupt) })
 	writer := logs.NewWriter()
 	ctx, served := context.WithCancel(context.Background())
 	var group errgroup.Group
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -35,6 +35,7 @@
 	Work, Memory float64
 
 	out  bool
+	over bool // it has ended, and its owner is yet to be told so
 	end  brain.End
 	conn *conn
 	sent bool
@@ -42,7 +43,7 @@
 	got  int
 }
 
-// Out tells whether the send has not ended yet.
+// Out tells whether the send's end is yet to be told.
 func (j *Job) Out() bool { return j.out }
 
 // Owner learns how sends go. No call comes from within Send, GiveUp, Renice or Members.
@@ -169,7 +170,7 @@
 
 // Send carries a command to an engine.
 func (p *Pool) Send(j *Job) {
-	j.out, j.sent, j.conn, j.got, j.Pages = true, false, nil, 0, j.Pages[:0]
+	j.out, j.over, j.sent, j.conn, j.got, j.Pages = true, false, false, nil, 0, j.Pages[:0]
 	j.Work, j.Memory = 0, 0
 	e := p.engines[j.Engine]
 	if e == nil || e.state != brain.Ready {
@@ -224,7 +225,7 @@
 // GiveUp ends a send that is out. One that is on its way is taken back, so that it is over on the wire before
 // another leaves.
 func (p *Pool) GiveUp(j *Job, end brain.End) {
-	if c := j.conn; j.out && c != nil && j.sent {
+	if c := j.conn; c != nil && j.sent {
 		if !c.line.Begun(j.from) { // it would leave after it was given up
 			c.line.Drop()
 		} else if j.got == 0 {
@@ -242,22 +243,21 @@
 
 // Renice sets the priority of a send that is out.
 func (p *Pool) Renice(j *Job) {
-	if j.out && j.sent && j.got == 0 {
+	if j.conn != nil && j.sent && j.got == 0 {
 		j.conn.say(lines.Renice(p.scratch[:0], j.Ref[:], j.Level))
 	}
 }
 
 func (p *Pool) endLater(j *Job, end brain.End) {
-	if j.out {
+	if j.out && !j.over {
 		j.unlink()
-		j.end = end
+		j.over, j.end = true, end
 		p.later = append(p.later, j)
 	}
 }
 
 // unlink takes a send off its connection.
 func (j *Job) unlink() {
-	j.out = false
 	if c := j.conn; c != nil {
 		j.conn = nil
 		delete(c.out, j.Ref)
@@ -280,6 +280,7 @@
 
 func (j *Job) finish(p *Pool, end brain.End) {
 	j.unlink()
+	j.out = false
 	if end != brain.Answered { // part of a result is nobody's, and the job may be sent again at once
 		p.freePages(j)
 	}
@@ -294,6 +295,7 @@
 	for k := 0; k < len(p.later); k++ {
 		j := p.later[k]
 		p.freePages(j)
+		j.out = false
 		p.owner.Ended(j, j.end)
 	}
 	p.later = p.later[:0]
@@ -457,6 +459,9 @@
 }
 
 func figure(b []byte) float64 {
+	if len(b) == 0 {
+		return 0
+	}
 	v, err := strconv.ParseFloat(string(b), 64)
 	if err != nil || !(v >= 0 && v < 1e12) {
 		return 0
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,9 +20,17 @@
 	Statement             []byte
 }
 
-// Desk takes what clients want. A command taken gets one of a Session's answers, unless it has Left.
+// Caller is who asked, by the number that its protocol gives the call. A command that it holds gets one answer.
+type Caller interface {
+	Hold(seq int32, id uint32)
+	Answered(seq int32, pages [][]byte)
+	Shed(seq int32, pause float64)
+	Failed(seq int32)
+}
+
+// Desk takes what clients want. A command that a caller holds gets one of its answers, unless it has Left.
 type Desk interface {
-	Take(s *Session, seq int32, a *Ask)
+	Take(c Caller, seq int32, a *Ask)
 	Left(id uint32)
 	Ready() bool
 	Bad(s *Session, how string)
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -30,24 +31,20 @@
 	return len(b), nil
 }
 
-// Dropped is how many lines found no room.
-func (w *Writer) Dropped() int64 { return w.dropped.Load() }
-
-// Run writes lines until the context ends, and then those that wait.
+// Run writes lines until the context ends, and then those that wait. It tells of dropped ones where they lack.
 func (w *Writer) Run(ctx context.Context, out io.Writer) {
 	for {
 		select {
 		case b := <-w.lines:
 			out.Write(b)
 		case <-ctx.Done():
-			for {
-				select {
-				case b := <-w.lines:
-					out.Write(b)
-				default:
-					return
-				}
+			for len(w.lines) > 0 {
+				out.Write(<-w.lines)
 			}
+			return
+		}
+		if n := w.dropped.Swap(0); n > 0 {
+			fmt.Fprintf(out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,7 +20,7 @@
 // command is one that a client is owed an answer for, or that still has a send out.
 type command struct {
 	id        uint32
-	session   *front.Session
+	client    front.Caller
 	seq       int32
 	profile   int
 	dueBy     float64
@@ -128,18 +128,18 @@
 func (r *Router) Ready() bool { return r.listed && !r.ending }
 
 // Take takes a command in, unless it can't be one.
-func (r *Router) Take(s *front.Session, seq int32, a *front.Ask) {
+func (r *Router) Take(client front.Caller, seq int32, a *front.Ask) {
 	profile, ok := r.profs[string(a.Profile)]
 	tenant, known := r.tens[string(a.Tenant)]
 	if !ok || !known && len(r.tens) > 0 {
 		r.log.Info("unknown profile or tenant", zap.ByteString("profile", a.Profile), zap.ByteString("tenant", a.Tenant))
-		s.Failed(seq)
+		client.Failed(seq)
 		return
 	}
 	// The settings' bound, and one on memory: what passes them never reaches the module.
 	if r.set.Open > 0 && r.owed >= r.set.Open || r.held+len(a.Statement) > r.budget {
 		r.log.Warn("too much in hand", zap.Int("commands", r.owed), zap.Int("bytes", r.held))
-		s.Shed(seq, 0)
+		client.Shed(seq, 0)
 		return
 	}
 	var c *command
@@ -153,13 +153,13 @@
 	if r.set.Longest > 0 { // no client waits longer, and nothing may be kept for longer
 		a.Allow = min(a.Allow, r.set.Longest)
 	}
-	*c = command{id: r.lastID, session: s, seq: seq, profile: profile, dueBy: r.now + a.Allow, level: noPriority,
+	*c = command{id: r.lastID, client: client, seq: seq, profile: profile, dueBy: r.now + a.Allow, level: noPriority,
 		statement: append(c.statement[:0], a.Statement...), job: engines.Job{Pages: c.job.Pages}}
 	c.job.Ref = a.Ref
 	r.cmds[c.id] = c
 	r.owed++
 	r.held += len(c.statement)
-	s.Hold(seq, c.id)
+	client.Hold(seq, c.id)
 	area, _ := statement.Group(a.Statement)
 	r.mind.Command(r.now, brain.Command{ID: c.id, Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
 		Memory: a.Memory, Area: area})
@@ -180,7 +180,7 @@
 
 // over notes that nothing is owed any more.
 func (r *Router) over(c *command) {
-	c.over, c.session = true, nil
+	c.over, c.client = true, nil
 	c.job.Unwanted = true
 	r.owed--
 	r.held -= len(c.statement)
@@ -190,7 +190,7 @@
 func (r *Router) release(c *command) {
 	if c.over && !c.job.Out() && r.cmds[c.id] == c {
 		delete(r.cmds, c.id)
-		const most, long = 4096, 16 << 10 // places and bytes kept for reuse: a busy second's, some megabytes
+		const most, long = 1024, 4 << 10 // places and bytes kept for reuse: a busy second's, 4 MB at most
 		if cap(c.statement) > long {
 			c.statement = nil
 		}
@@ -205,7 +205,7 @@
 func (r *Router) Ended(j *engines.Job, end brain.End) {
 	c := r.cmds[j.ID]
 	if end == brain.Answered && !c.over {
-		c.session.Answered(c.seq, j.Pages)
+		c.client.Answered(c.seq, j.Pages)
 		r.over(c)
 	}
 	o := brain.Outcome{ID: c.id, Engine: j.Engine, Send: j.Number, End: end, Lag: r.now - j.At, Over: c.over}
@@ -245,7 +245,7 @@
 
 func (r *Router) Shed(id uint32, pause float64) {
 	if c := r.cmds[id]; !c.over {
-		c.session.Shed(c.seq, pause)
+		c.client.Shed(c.seq, pause)
 		r.over(c)
 		r.release(c)
 	}
@@ -253,7 +253,7 @@
 
 func (r *Router) Fail(id uint32) {
 	if c := r.cmds[id]; !c.over {
-		c.session.Failed(c.seq)
+		c.client.Failed(c.seq)
 		r.over(c)
 		r.release(c)
 	}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -47,6 +47,10 @@
 	ctx      context.Context
 	sessions map[*front.Session]struct{}
 	scratch  []byte // answers are put together here
+	ticks    int
+	waits    bool    // the last question has no answer yet
+	heardAt  float64 // the name server's last answer
+	deaf     bool    // it is missing, and the log says so
 }
 
 // Serve runs a router until the context ends it at once, or a stop ends it once all is answered.
@@ -138,22 +142,24 @@
 
 // own is the owner's goroutine.
 func (s *service) own(stop <-chan struct{}, listener net.Listener) error {
-	// A third of the descriptors is the clients', as they keep to it; a third is the engines'; the rest is room.
-	third := max(s.cfg.Limits.Sockets/3, 16)
-	if s.cfg.Limits.Sockets == 0 {
-		third = 4096
+	// A third of the descriptors is the engines'. Clients keep to a third and get up to a half, since the ends of
+	// their connections are seen a little late; the rest is room.
+	sockets := s.cfg.Limits.Sockets
+	if sockets == 0 {
+		sockets = 16384
 	}
-	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: third,
+	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(sockets/3, 1),
 		Idle: s.cfg.Settings.ConnIdle}, s.dial)
-	s.Router.Start(s.clock.now(), pool)
+	s.heardAt = s.clock.now()
+	s.Router.Start(s.heardAt, pool)
 	s.members(brain.Cached)
 	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.Stringer("listen", s.cfg.Listen),
 		zap.Int("engines", len(s.list.List())))
 
-	// An event counts as told 1.5 s after it happened, heard or not: five questions in that time let two or three
-	// be lost.
-	const askEvery = 300 * time.Millisecond
-	asking := time.NewTicker(askEvery)
+	// An event counts as told 1.5 s after it happened, heard or not. A question every third tick hears of it well
+	// before; while one has no answer every tick asks, so that a dozen may be lost.
+	const tick, askEvery = 100 * time.Millisecond, 3
+	asking := time.NewTicker(tick)
 	defer asking.Stop()
 	tidying := time.NewTicker(time.Second)
 	defer tidying.Stop()
@@ -166,9 +172,12 @@
 		case e := <-s.inbox:
 			s.Deliver(s.clock.now(), e)
 		case nc := <-s.arrivals:
-			s.arrive(nc, 2*third)
+			s.arrive(nc, max(sockets/2, 1), closing)
 		case <-asking.C:
-			s.ask.Write(s.list.Question(nil)) // a lost one is asked again
+			if s.ticks++; s.waits || s.ticks%askEvery == 0 {
+				s.waits = true
+				s.ask.Write(s.list.Question(nil))
+			}
 		case <-tidying.C:
 			s.tidy()
 		case msg := <-s.answers:
@@ -197,7 +206,7 @@
 	}
 }
 
-func (s *service) arrive(nc net.Conn, most int) {
+func (s *service) arrive(nc net.Conn, most int, closing bool) {
 	if len(s.sessions) >= most {
 		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
 		nc.Close()
@@ -210,6 +219,9 @@
 	c.Line = line
 	s.sessions[c] = struct{}{}
 	line.Start(nc)
+	if closing { // it came with the last
+		c.Last()
+	}
 }
 
 // tidy closes connections that nothing has come on for long, of clients as of engines.
@@ -219,6 +231,11 @@
 		c.Idle(ticks)
 	}
 	s.pool.Tidy()
+	const silent = 3 // seconds: thirty questions with no answer are no chance
+	if now := s.clock.now(); !s.deaf && now-s.heardAt > silent {
+		s.deaf = true
+		s.log.Warn("the name server does not answer", zap.Uint32("rev", s.list.Rev()))
+	}
 }
 
 func (s *service) Closed(c *front.Session) { delete(s.sessions, c) }
@@ -236,6 +253,14 @@
 	if err != nil {
 		s.log.Warn("list of engines", zap.Error(err))
 	}
+	if err != nil && !fresh {
+		return
+	}
+	s.waits = false
+	if s.heardAt = s.clock.now(); s.deaf {
+		s.deaf = false
+		s.log.Info("the name server answers again")
+	}
 	if fresh {
 		s.log.Info("list of engines", zap.Uint32("rev", s.list.Rev()), zap.Int("engines", len(s.list.List())))
 		s.members(brain.Full)
