--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -201,8 +201,9 @@
 		addrs[e.Engine] = netip.AddrPortFrom(s.Addr, s.Port)
 		list = append(list, e)
 	}
-	for uid, n := range f.numbers { // names of engines long gone must not pile up
-		if !slices.ContainsFunc(list, func(e brain.Entry) bool { return e.Engine == n }) {
+	const most = 1000 // names: sends and log lines outlive an engine's place in the list, but not by so many engines
+	for uid, n := range f.numbers {
+		if len(f.numbers) > most && !slices.ContainsFunc(list, func(e brain.Entry) bool { return e.Engine == n }) {
 			delete(f.numbers, uid)
 			delete(f.names, n)
 		}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -90,6 +90,9 @@
 		"s-00c41f7d.east 0 40 std 2 0 10.1.0.9:4100", "s-3.east 0 40 std 2 soon 10.1.0.9:4100")); !fresh || err == nil {
 		t.Error(fresh, err)
 	}
+	if name := f.Name(f.number("s-00c41f7a")); name != "s-00c41f7a" {
+		t.Errorf("the log would call an engine that is gone %q", name)
+	}
 	want := "rev 50\ns-00c41f7d 10.1.0.9:4100 kind 0 zone 0 cell 2 weight 4 ready at 0 state 2\n"
 	if diff := cmp.Diff(want, state(f)); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
