A writer that is only behind no longer costs a draining engine's connection

Seen by reading: at a list event a connection was dropped when the bytes of any send there had not begun to leave (engines.go, retire). On one core the owner can take a list event before the writer has run, and all that ran on the draining engine would have been cut. What is stuck is now looked at 0.1 s later, within the grace. A send whose limit is over already ends without being written.

--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -99,6 +99,7 @@
 	waiting []*Job           // until it is up
 	spent   map[Ref]struct{} // given up here: an answer under these is late, and no other send's
 	usedAt  float64
+	stuckAt float64 // what is stuck then must not leave any more, 0: nothing is
 }
 
 func New(owner Owner, limits Limits, dial func(netip.AddrPort, sockets.Sink) Line) *Pool {
@@ -148,18 +149,38 @@
 		if !c.up {
 			c.line.Drop()
 		}
-		stuck := false
 		for _, j := range c.jobs() {
 			if !j.sent {
 				p.endLater(j, brain.Unreachable)
-			} else {
-				stuck = stuck || !c.line.Begun(j.from)
 			}
 		}
-		if stuck { // its bytes would leave some time, perhaps past the grace of a drain
-			c.line.Drop()
-		}
 		c.rest()
+		const soon = 0.1 // seconds: a writer that is only behind has written by then, and no grace of a drain is over
+		if c.stuck() && c.stuckAt == 0 {
+			c.stuckAt = p.now + soon
+		}
+	}
+}
+
+// stuck tells whether bytes of a send wait to leave.
+func (c *conn) stuck() bool {
+	for _, j := range c.out {
+		if j.sent && !c.line.Begun(j.from) {
+			return true
+		}
+	}
+	return false
+}
+
+// Unstick drops connections to engines that drain or are gone, in which bytes of sends are stuck: they would leave
+// some time, past the grace. It is to be called some times a second.
+func (p *Pool) Unstick() {
+	for _, c := range p.conns {
+		if c.stuckAt > 0 && p.now >= c.stuckAt {
+			if c.stuckAt = 0; c.stuck() {
+				c.line.Drop()
+			}
+		}
 	}
 }
 
@@ -177,6 +198,10 @@
 		p.endLater(j, brain.Moot)
 		return
 	}
+	if j.Until <= p.now {
+		p.endLater(j, brain.TimedOut)
+		return
+	}
 	c := p.conn(j, e)
 	if c == nil { // all connections are taken: nothing was written
 		p.endLater(j, brain.Unreachable)
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -119,12 +119,17 @@
 		j := y.jobs[number(t, w[2])]
 		j.Level = int(number(t, w[3]))
 		y.pool.Renice(j)
+	case "unstick":
+		y.pool.Unstick()
 	case "tidy":
 		y.pool.Tidy()
 	case "up":
 		y.lines[number(t, w[2])-1].sink.Up()
 	case "stalled":
-		y.lines[number(t, w[2])-1].stalled = true
+		l := y.lines[number(t, w[2])-1]
+		if l.stalled = len(w) < 4 || w[3] == "yes"; !l.stalled {
+			l.begun = l.queued
+		}
 	case "says": // line, words with ID of which "@7" is written out, and | for a line's end
 		text := strings.NewReplacer("@", "00000000000000", "|", "\r\n").Replace(strings.Join(w[3:], " "))
 		for size := len(text); len(text) > 0; text = text[size:] {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -174,6 +174,8 @@
 		case nc := <-s.arrivals:
 			s.arrive(nc, max(sockets/2, 1), closing)
 		case <-asking.C:
+			s.at(s.clock.now())
+			s.pool.Unstick()
 			if s.ticks++; s.waits || s.ticks%askEvery == 0 {
 				s.waits = true
 				s.ask.Write(s.list.Question(nil))
