Integration tests: an address of the router's own, a cancel known to have been read

Reproduced with eight runs side by side: the port found free for the router went to a stand-in engine, so that the router did not start and the client spoke to the engine; and an answer overtook a cancel that the router had not read yet.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -62,12 +62,8 @@
 
 func newTown(t *testing.T, engines int) *town {
 	w := &town{t: t, names: standin.NewNameServer(t, members.Record), heard: make(chan standin.Said, 1000)}
-	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
-	if err != nil {
-		t.Fatal(err)
-	}
-	w.addr = l.Addr().String()
-	l.Close()
+	// An address that is this router's own: a port that was free on a shared one may be an engine's by the time.
+	w.addr = fmt.Sprintf("127.%d.%d.%d:4100", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
 	var targets []string
 	for k := range engines {
 		w.engines = append(w.engines, standin.NewEngine(t, w.heard))
@@ -139,6 +135,10 @@
 		}
 		return s
 	case <-time.After(standin.Patience):
+		w.cmd.Process.Kill()
+		for line := range w.log {
+			w.t.Log(line)
+		}
 		w.t.Fatalf("no engine was sent a %s", word)
 	}
 	return standin.Said{}
@@ -276,6 +276,9 @@
 	w := newTown(t, 1)
 	c, bad := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
 	c.Cancel(w.call(c, "lookup", 30000, "SELECT 1"))
+	if !c.Health() { // its answer tells that the cancel was read
+		t.Error("not ready")
+	}
 	w.hear("fetch").Answer("served", "count=1", "unwanted\n")
 	bad.Raw([]byte("GET / HTTP/1.1\r\n\r\n"))
 	if got := bad.Next(); got != "closed" && !strings.Contains(got, "reset") {
