Time-outs of an engine that hangs no longer keep lookups refused after the hang

A probe at each histogram swap: the hung engine tells of progress and is not silent; 35 to 58 lookups a router time out there and make over a tenth of the histogram, so that p90 is the client timeout and nearly all is refused; the few let in can't thin it out (brain.go, judge). Change: a time-out counts only where its engine has answered within 3 s. Covers any engine that takes work and answers nothing; harm where one is so slow that nothing comes for 3 s.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -492,9 +492,8 @@
 	if s.engine < 0 || s.number != o.Send {
 		return pass
 	}
-	r.out.engine = -1
 	e := &b.engines[s.engine]
-	e.outs, e.trial = e.outs-1, false
+	r.out.engine, e.outs, e.trial = -1, e.outs-1, false
 	if !s.lost {
 		e.load(r.short, -float64(p.Threads))
 	}
@@ -504,9 +503,10 @@
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
-	// A time-out counts where answers are slow, or only the lucky would; else the answer was lost, and refusing
-	// mends nothing. Ill and cold engines are left out.
-	if (o.End == Answered || o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove) && !e.ill && !b.isCold(e) {
+	// A time-out counts where answers come but slowly, or only the lucky would; else (a lost answer, a hang)
+	// refusing mends nothing. Ill and cold engines are left out.
+	late := o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove && b.now-e.heardAt <= lately
+	if (o.End == Answered || late) && !e.ill && !b.isCold(e) {
 		p.fill.add(o.Lag)
 	}
 	const weight = 0.15 // of one outcome: some seven in a row tell
