State kept once in the router's command, one harness for kept traces, no dead code

Found on reading the whole change; behaviour is as before: - a command and its send both held id, count of sends, priority, statement and whether it is over (router.go); the send has them now, set once when the command is taken instead of at each send. - the traces of the module and the scripts of the protocols had a harness each; script.Compare serves both, and the module's traces are still played twice. - thrift had an error value that nobody used and one failure written out five times; the front's Line had a method that nobody called; a variable hid the package sockets (serve.go, own). - the notices of the start were decoded from JSON in a second pass. - the integration tests' ordinary course stood six times; assertions are the same.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1,43 +1,14 @@
 package brain
 
 import (
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"dunereach/internal/script"
 )
 
-var update = flag.Bool("update", false, "write the traces anew; read the difference before you keep it")
-
 // TestTraces plays every script of testdata and compares what the module does with what is kept there. Equal
 // events must give equal actions, so each is played twice.
-func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no traces: %v", err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			kept, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got := play(t, string(kept))
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			} else if diff := cmp.Diff(string(kept), got); diff != "" {
-				t.Errorf("the module acts otherwise (-kept +now):\n%s", diff)
-			}
-			if diff := cmp.Diff(got, play(t, string(kept))); diff != "" {
-				t.Errorf("equal events, other actions:\n%s", diff)
-			}
-		})
-	}
-}
+func TestTraces(t *testing.T) { script.Compare(t, play, play) }
 
 type deafHost struct{ engine uint32 }
 
--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -150,6 +150,16 @@
 	return c.Call(statement, "service", profile, "project", "acme", "allow", fmt.Sprint(allow), "ref", fmt.Sprintf("%016x", w.refs))
 }
 
+// serve has an engine run a command and checks that the client has the result.
+func (w *town) serve(c *standin.Client, profile string) standin.Said {
+	w.t.Helper()
+	seq := w.call(c, profile, 30000, "SELECT 1")
+	s := w.hear("fetch")
+	s.Answer("served", "count=1", "x\n")
+	w.expect(c, served(seq, "x\n"))
+	return s
+}
+
 func (w *town) expect(c *standin.Client, want string) {
 	w.t.Helper()
 	if diff := cmp.Diff(want, c.Next()); diff != "" {
@@ -202,9 +212,7 @@
 	w.expect(c, fmt.Sprintf(`2/%d call{ 1={ 1=[ cooldown=250 ] } }`, seq))
 	w.hear("abort")
 	late.Answer("served", "count=1", "old\n")
-	seq = w.call(c, "lookup", 30000, "SELECT 2")
-	w.hear("fetch").Answer("served", "count=1", "new\n")
-	w.expect(c, served(seq, "new\n"))
+	w.serve(c, "lookup")
 }
 
 // TestFailed: what may have run and must not run twice fails; what is replayable goes elsewhere, and no part of the
@@ -233,13 +241,9 @@
 	w.engines[0].Close()
 	c := standin.NewClient(t, w.addr)
 	for range 6 {
-		seq := w.call(c, "order", 30000, "UPDATE sales_3.x")
-		s := w.hear("fetch")
-		if s.Engine != w.engines[1] {
+		if s := w.serve(c, "order"); s.Engine != w.engines[1] {
 			t.Error("an engine that is not there was sent something")
 		}
-		s.Answer("served", "count=1", "x\n")
-		w.expect(c, served(seq, "x\n"))
 	}
 }
 
@@ -259,13 +263,9 @@
 	w.names.Set(2, entry(drains, 1), entry(1-drains, 0))
 	w.logged(`"list of engines","rev":2`)
 	for range 20 {
-		seq := w.call(c, "lookup", 30000, "SELECT 2")
-		s := w.hear("fetch")
-		if s.Engine == there.Engine {
+		if s := w.serve(c, "lookup"); s.Engine == there.Engine {
 			t.Fatal("a draining engine was sent something")
 		}
-		s.Answer("served", "count=1", "x\n")
-		w.expect(c, served(seq, "x\n"))
 	}
 	there.Answer("served", "count=1", "y\n")
 	w.expect(c, served(running, "y\n"))
@@ -286,9 +286,7 @@
 	}
 	seq := w.call(c, "nobody's", 30000, "SELECT 1")
 	w.expect(c, fmt.Sprintf(`2/%d call{ 2={ 1=[ ] } }`, seq))
-	seq = w.call(c, "lookup", 30000, "SELECT 2")
-	w.hear("fetch").Answer("served", "count=1", "x\n")
-	w.expect(c, served(seq, "x\n"))
+	w.serve(c, "lookup")
 }
 
 // TestEnd: asked to end, a router takes what still comes, answers all, and ends well. Another start under its name
@@ -303,9 +301,7 @@
 	if c.Health() {
 		t.Error("still ready")
 	}
-	two := w.call(c, "lookup", 30000, "SELECT 2")
-	w.hear("fetch").Answer("served", "count=1", "two\n")
-	w.expect(c, served(two, "two\n"))
+	w.serve(c, "lookup")
 	first.Answer("served", "count=1", "one\n")
 	w.expect(c, served(one, "one\n"))
 	w.expect(c, "closed")
@@ -316,9 +312,7 @@
 	if !c.Health() {
 		t.Error("not ready after a new start")
 	}
-	seq := w.call(c, "lookup", 30000, "SELECT 3")
-	w.hear("fetch").Answer("served", "count=1", "three\n")
-	w.expect(c, served(seq, "three\n"))
+	w.serve(c, "lookup")
 }
 
 // TestNoStart: what can't serve says why in one line and ends with a status.
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -266,7 +266,7 @@
 	p.endLater(j, end)
 }
 
-// Renice sets the priority of a send that is out.
+// Renice sets the priority of a send that runs. One that is yet to be written has it with its fetch.
 func (p *Pool) Renice(j *Job) {
 	if j.conn != nil && j.sent && j.got == 0 {
 		j.conn.say(lines.Renice(p.scratch[:0], j.Ref[:], j.Level))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,7 +33,7 @@
 	Take(c Caller, seq int32, a *Ask)
 	Left(id uint32)
 	Ready() bool
-	Bad(s *Session, how string)
+	Bad(how string)
 	Closed(s *Session)
 }
 
@@ -41,7 +41,6 @@
 type Line interface {
 	Append(b []byte) int64
 	Finish()
-	Drop()
 	Bad()
 }
 
@@ -73,7 +72,7 @@
 	s.idle = 0
 	if err := s.frames.Feed(b, s.frame); err != nil {
 		s.broken = true
-		s.desk.Bad(s, err.Error())
+		s.desk.Bad(err.Error())
 		s.Line.Bad()
 	}
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -4,7 +4,6 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -45,8 +44,8 @@
 
 // Known is all that was told before the start.
 type Known struct {
-	Rev     uint32            `json:"rev"`
-	Notices []json.RawMessage `json:"notices"`
+	Rev     uint32   `json:"rev"`
+	Notices []Notice `json:"notices"`
 }
 
 // Follower holds the list as last told.
@@ -68,11 +67,7 @@
 
 // Start takes in what the configuration holds, in order.
 func (f *Follower) Start(k Known) error {
-	for n, raw := range k.Notices {
-		var event Notice
-		if err := json.Unmarshal(raw, &event); err != nil {
-			return fmt.Errorf("known: notice %d: %v", n, err)
-		}
+	for n, event := range k.Notices {
 		f.rev = max(f.rev, event.Rev)
 		if event.Pool == nil {
 			continue
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,18 +19,15 @@
 
 // command is one that a client is owed an answer for, or that still has a send out.
 type command struct {
-	id        uint32
-	client    front.Caller
-	seq       int32
-	profile   int
-	dueBy     float64
-	over      bool // the client has its answer, or has left
-	sends     int
-	level     int
-	statement []byte
-	job       engines.Job
+	client front.Caller
+	seq    int32
+	dueBy  float64
+	job    engines.Job // its latest send; id, statement and priority are the command's
 }
 
+// over: the client has its answer, or has left.
+func (c *command) over() bool { return c.job.Unwanted }
+
 // Router hosts the module. All its methods are the owner's goroutine's.
 type Router struct {
 	set    settings.Settings
@@ -153,46 +150,45 @@
 	if r.set.Longest > 0 { // no client waits longer, and nothing may be kept for longer
 		a.Allow = min(a.Allow, r.set.Longest)
 	}
-	*c = command{id: r.lastID, client: client, seq: seq, profile: profile, dueBy: r.now + a.Allow, level: noPriority,
-		statement: append(c.statement[:0], a.Statement...), job: engines.Job{Pages: c.job.Pages}}
-	c.job.Ref = a.Ref
-	r.cmds[c.id] = c
+	*c = command{client: client, seq: seq, dueBy: r.now + a.Allow, job: engines.Job{ID: r.lastID, Number: -1, Ref: a.Ref,
+		Profile: r.set.Profiles[profile], Statement: append(c.job.Statement[:0], a.Statement...), Level: noPriority,
+		Pages: c.job.Pages}}
+	r.cmds[c.job.ID] = c
 	r.owed++
-	r.held += len(c.statement)
-	client.Hold(seq, c.id)
+	r.held += len(c.job.Statement)
+	client.Hold(seq, c.job.ID)
 	area, _ := statement.Group(a.Statement)
-	r.mind.Command(r.now, brain.Command{ID: c.id, Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
+	r.mind.Command(r.now, brain.Command{ID: c.job.ID, Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
 		Memory: a.Memory, Area: area})
 }
 
 // Left: nobody waits for this command any more.
 func (r *Router) Left(id uint32) {
-	if c := r.cmds[id]; c != nil && !c.over {
+	if c := r.cmds[id]; c != nil && !c.over() {
 		r.over(c)
 		r.mind.Left(r.now, id)
 		r.release(c)
 	}
 }
 
-func (r *Router) Bad(_ *front.Session, how string) {
+func (r *Router) Bad(how string) {
 	r.log.Warn("client can't be read", zap.String("why", how))
 }
 
 // over notes that nothing is owed any more.
 func (r *Router) over(c *command) {
-	c.over, c.client = true, nil
-	c.job.Unwanted = true
+	c.job.Unwanted, c.client = true, nil
 	r.owed--
-	r.held -= len(c.statement)
+	r.held -= len(c.job.Statement)
 }
 
 // release frees the place of a command that is over and has no send out.
 func (r *Router) release(c *command) {
-	if c.over && !c.job.Out() && r.cmds[c.id] == c {
-		delete(r.cmds, c.id)
+	if id := c.job.ID; c.over() && !c.job.Out() && r.cmds[id] == c {
+		delete(r.cmds, id)
 		const most, long = 1024, 4 << 10 // places and bytes kept for reuse: a busy second's, 4 MB at most
-		if cap(c.statement) > long {
-			c.statement = nil
+		if cap(c.job.Statement) > long {
+			c.job.Statement = nil
 		}
 		if len(r.free) < most {
 			r.free = append(r.free, c)
@@ -204,11 +200,11 @@
 
 func (r *Router) Ended(j *engines.Job, end brain.End) {
 	c := r.cmds[j.ID]
-	if end == brain.Answered && !c.over {
+	if end == brain.Answered && !c.over() {
 		c.client.Answered(c.seq, j.Pages)
 		r.over(c)
 	}
-	o := brain.Outcome{ID: c.id, Engine: j.Engine, Send: j.Number, End: end, Lag: r.now - j.At, Over: c.over}
+	o := brain.Outcome{ID: j.ID, Engine: j.Engine, Send: j.Number, End: end, Lag: r.now - j.At, Over: c.over()}
 	if end == brain.Answered {
 		o.Work, o.Memory = j.Work, j.Memory
 	}
@@ -233,10 +229,8 @@
 		until = min(until, r.now+limit)
 	}
 	j := &c.job
-	j.ID, j.Number, j.Engine = id, c.sends, engine
-	j.Profile, j.Statement, j.Level = r.set.Profiles[c.profile], c.statement, c.level
-	j.At, j.Until, j.Unwanted = r.now, until, c.over
-	c.sends++
+	j.Number++
+	j.Engine, j.At, j.Until = engine, r.now, until
 	r.pool.Send(j)
 	if j.Out() {
 		r.timers.push(timer{at: until, what: limitOver, token: uint64(id) | uint64(j.Number)<<32})
@@ -244,7 +238,7 @@
 }
 
 func (r *Router) Shed(id uint32, pause float64) {
-	if c := r.cmds[id]; !c.over {
+	if c := r.cmds[id]; !c.over() {
 		c.client.Shed(c.seq, pause)
 		r.over(c)
 		r.release(c)
@@ -252,7 +246,7 @@
 }
 
 func (r *Router) Fail(id uint32) {
-	if c := r.cmds[id]; !c.over {
+	if c := r.cmds[id]; !c.over() {
 		c.client.Failed(c.seq)
 		r.over(c)
 		r.release(c)
@@ -266,11 +260,9 @@
 }
 
 func (r *Router) Priority(id uint32, level int, _ float64) {
-	if c := r.cmds[id]; c != nil && c.level != level {
-		c.level = level
-		if c.job.Level = level; c.job.Out() {
-			r.pool.Renice(&c.job)
-		}
+	if c := r.cmds[id]; c != nil && c.job.Level != level {
+		c.job.Level = level
+		r.pool.Renice(&c.job) // of no effect where nothing is out
 	}
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -144,11 +144,11 @@
 func (s *service) own(stop <-chan struct{}, listener net.Listener) error {
 	// A third of the descriptors is the engines'. Clients keep to a third and get up to a half, since the ends of
 	// their connections are seen a little late; the rest is room.
-	sockets := s.cfg.Limits.Sockets
-	if sockets == 0 {
-		sockets = 16384
+	descriptors := s.cfg.Limits.Sockets
+	if descriptors == 0 {
+		descriptors = 16384
 	}
-	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(sockets/3, 1),
+	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(descriptors/3, 1),
 		Idle: s.cfg.Settings.ConnIdle}, s.dial)
 	s.heardAt = s.clock.now()
 	s.Router.Start(s.heardAt, pool)
@@ -172,7 +172,7 @@
 		case e := <-s.inbox:
 			s.Deliver(s.clock.now(), e)
 		case nc := <-s.arrivals:
-			s.arrive(nc, max(sockets/2, 1), closing)
+			s.arrive(nc, max(descriptors/2, 1), closing)
 		case <-asking.C:
 			s.at(s.clock.now())
 			s.pool.Unstick()
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -21,6 +21,15 @@
 // Play plays all scripts of testdata, each way that start is given, and compares with what is kept. start makes
 // what plays one line.
 func Play(t *testing.T, starts ...func(t *testing.T, say Say) (step func(words []string))) {
+	var ways []func(*testing.T, string) string
+	for _, start := range starts {
+		ways = append(ways, func(t *testing.T, text string) string { return play(t, text, start) })
+	}
+	Compare(t, ways...)
+}
+
+// Compare compares each file of testdata with what each way makes of its text.
+func Compare(t *testing.T, ways ...func(t *testing.T, text string) string) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scripts: %v", err)
@@ -30,9 +39,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for n, start := range starts {
+		for n, way := range ways {
 			t.Run(fmt.Sprint(filepath.Base(file), n), func(t *testing.T) {
-				got := play(t, string(kept), start)
+				got := way(t, string(kept))
 				if *update && n == 0 {
 					kept = []byte(got)
 					if err := os.WriteFile(file, kept, 0o644); err != nil {
--- a/internal/thrift/frames.go
+++ b/internal/thrift/frames.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 )
 
@@ -72,9 +71,6 @@
 
 const strict = 0x80010000
 
-// ErrShort tells that a frame ends before its content does, or that its content is no such protocol.
-var ErrShort = errors.New("frame can't be read")
-
 // Reader takes values off a frame. After the first that can't be read all are zero, and Bad is set.
 type Reader struct {
 	b   []byte
@@ -83,9 +79,11 @@
 
 func NewReader(frame []byte) Reader { return Reader{b: frame} }
 
+func (r *Reader) fail() { r.Bad, r.b = true, nil }
+
 func (r *Reader) take(n int) []byte {
 	if n < 0 || n > len(r.b) {
-		r.Bad, r.b = true, nil
+		r.fail()
 		return nil
 	}
 	v := r.b[:n]
@@ -121,7 +119,7 @@
 func (r *Reader) Message() (kind Kind, name []byte, seq int32) {
 	v := uint32(r.I32())
 	if v&0xffff0000 != strict {
-		r.Bad, r.b = true, nil
+		r.fail()
 		return
 	}
 	return Kind(v), r.Bytes(), r.I32()
@@ -140,7 +138,8 @@
 func (r *Reader) Pairs() (key, value Type, n int32) {
 	key, value, n = Type(r.U8()), Type(r.U8()), r.I32()
 	if n < 0 || int(n) > len(r.b) { // a pair takes two bytes at least
-		r.Bad, r.b, n = true, nil, 0
+		r.fail()
+		n = 0
 	}
 	return
 }
@@ -151,7 +150,7 @@
 func (r *Reader) skip(t Type, depth int) {
 	const deepest = 32 // levels: no sender nests so far, and a stack must not grow by a frame's content
 	if depth > deepest {
-		r.Bad, r.b = true, nil
+		r.fail()
 		return
 	}
 	switch t {
@@ -186,7 +185,7 @@
 			r.skip(t, depth+1)
 		}
 	default:
-		r.Bad, r.b = true, nil
+		r.fail()
 	}
 }
 
