SIGHUP reads the configuration again instead of ending the router

Cause: cmd/dunereach/main.go asked for SIGTERM and interrupts only, so the system's default ended the program; nothing read the file again. Ruled out: a crash of its own (no panic in the log, the status is 128 + SIGHUP). Now the signal is asked for before anything else. The file is read again outside the owner; its name server replaces the old one, whose socket is closed so that its answers count no more; the serial goes on; events of known that are news are taken in whole or not at all. Tests: TestReload starts the program (status 129 without the change), TestKnownAgain.

--- a/cmd/dunereach/main.go
+++ b/cmd/dunereach/main.go
@@ -15,6 +15,7 @@
 	"dunereach/internal/logs"
 	"dunereach/internal/router"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -26,6 +27,9 @@
 }
 
 func run() error {
+	// First of all: one that comes before the router serves must not end it. Several in a row are one.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -42,6 +46,8 @@
 	context.AfterFunc(asked, func() { signal.Reset(os.Interrupt) })
 	writer := logs.NewWriter()
 	ctx, served := context.WithCancel(context.Background())
+	log := logs.New(writer)
+	renewed := make(chan config.Config)
 	var group errgroup.Group
 	group.Go(func() error {
 		writer.Run(ctx, os.Stderr)
@@ -49,7 +55,32 @@
 	})
 	group.Go(func() error {
 		defer served()
-		return router.Serve(ctx, asked.Done(), cfg, logs.New(writer))
+		return router.Serve(ctx, asked.Done(), renewed, cfg, log)
+	})
+	group.Go(func() error {
+		reload(ctx, again, renewed, log)
+		return nil
 	})
 	return group.Wait()
 }
+
+// reload reads the configuration again at each signal and hands it on; one that can't be read changes nothing.
+func reload(ctx context.Context, again <-chan os.Signal, renewed chan<- config.Config, log *zap.Logger) {
+	for {
+		select {
+		case <-again:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := config.Load(os.Getenv)
+		if err != nil {
+			log.Error("new configuration not taken", zap.Error(err))
+			continue
+		}
+		select {
+		case renewed <- cfg:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -315,6 +315,45 @@
 	w.serve(c, "lookup")
 }
 
+// TestReload: SIGHUP, several in a row too, has the configuration read again, and what is open goes on. The name server
+// is the new one at once; what the old one says counts no more. A file that can't be read changes nothing.
+func TestReload(t *testing.T) {
+	w := newTown(t, 2)
+	c := standin.NewClient(t, w.addr)
+	seq := w.call(c, "lookup", 30000, "SELECT 1")
+	open := w.hear("fetch")
+	good, err := os.ReadFile(w.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text string, log string) {
+		os.WriteFile(w.config, []byte(text), 0o600)
+		w.cmd.Process.Signal(syscall.SIGHUP)
+		w.cmd.Process.Signal(syscall.SIGHUP)
+		w.logged(log)
+	}
+	reload(string(good[:len(good)/2]), "new configuration not taken")
+	names := standin.NewNameServer(t, members.Record)
+	other := strings.Replace(string(good), w.names.Addr, names.Addr, 1)
+	reload(strings.Replace(other, "192", "96", 1), `"kept until a restart":["limits"]`)
+	w.names.Set(9)
+	names.Set(2, fmt.Sprintf("s-1.east 0 10 std 0 0 %s", w.engines[1].Addr))
+	w.logged(`"list of engines","rev":2`)
+	for range 9 {
+		if s := w.serve(c, "lookup"); s.Engine != w.engines[1] {
+			t.Error("an engine that is gone was sent something")
+		}
+	}
+	open.Answer("served", "count=1", "y\n")
+	w.expect(c, served(seq, "y\n"))
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.logged("asked to end")
+	w.serve(c, "lookup")
+	w.expect(c, "closed")
+	w.ended(0)
+}
+
 // TestNoStart: what can't serve says why in one line and ends with a status.
 func TestNoStart(t *testing.T) {
 	w := newTown(t, 1)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -65,9 +66,13 @@
 		addrs: map[uint32]netip.AddrPort{}}
 }
 
-// Start takes in what the configuration holds, in order.
-func (f *Follower) Start(k Known) error {
+// Start takes in what the configuration holds, in order: the events that are news, or none where one can't be read.
+func (f *Follower) Start(k Known) (fresh bool, err error) {
+	was, list, addrs := f.rev, slices.Clone(f.list), maps.Clone(f.addrs)
 	for n, event := range k.Notices {
+		if event.Rev <= was && was > 0 {
+			continue
+		}
 		f.rev = max(f.rev, event.Rev)
 		if event.Pool == nil {
 			continue
@@ -77,12 +82,13 @@
 		}
 		for _, t := range event.Pool.Targets {
 			if err := f.target(t); err != nil {
-				return fmt.Errorf("known: notice %d: %v", n, err)
+				f.rev, f.list, f.addrs = was, list, addrs
+				return false, fmt.Errorf("known: notice %d: %v", n, err)
 			}
 		}
 	}
 	f.rev = max(f.rev, k.Rev)
-	return nil
+	return f.rev > was, nil
 }
 
 var states = map[string]brain.State{"ready": brain.Ready, "draining": brain.Draining, "gone": brain.Gone}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -31,12 +31,35 @@
 	if err := json.Unmarshal([]byte(known), &k); err != nil {
 		t.Fatal(err)
 	}
-	if err := f.Start(k); err != nil {
+	if _, err := f.Start(k); err != nil {
 		t.Fatal(err)
 	}
 	return f
 }
 
+// TestKnownAgain: of what a renewed configuration holds the events that are news are taken, all of them or none.
+func TestKnownAgain(t *testing.T) {
+	f := follower(t)
+	was := state(f)
+	gone := Target{UID: "s-00c41f7b", State: "gone"}
+	notice := func(rev uint32, targets ...Target) (k Known) {
+		json.Unmarshal([]byte(known), &k)
+		k.Notices = append(k.Notices, Notice{Rev: rev})
+		json.Unmarshal([]byte(`{"pool":{"targets":[]}}`), &k.Notices[2])
+		k.Notices[2].Pool.Targets = targets
+		return k
+	}
+	if fresh, err := f.Start(notice(41, gone)); fresh || err != nil || state(f) != was {
+		t.Error("no news, but taken:", fresh, err, state(f))
+	}
+	if fresh, err := f.Start(notice(42, gone, Target{UID: "s-1", State: "ready"})); fresh || err == nil || state(f) != was {
+		t.Error("half of it can't be read, but taken:", fresh, err, state(f))
+	}
+	if fresh, err := f.Start(notice(42, gone)); !fresh || err != nil || f.Rev() != 42 || len(f.List()) != 2 {
+		t.Error("news, but not taken:", fresh, err, state(f))
+	}
+}
+
 // same are the engines of known, as the name server tells them.
 var same = []string{"s-00c41f7a.east 0 40 std 2 0 10.1.0.9:4100", "S-00C41F7B.West 1 80 big 1 0 10.1.0.8:4100", "s-00c41f7c.east 0 80 big 1 1700000000500 10.1.0.7:4100"}
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"dunereach/brain"
@@ -42,8 +43,9 @@
 	net      *sockets.Net
 	inbox    sockets.Inbox
 	arrivals chan net.Conn
-	answers  chan []byte // datagrams of the name server
-	ask      *net.UDPConn
+	answers  chan datagram
+	ask      *net.UDPConn // to the name server of now
+	group    *errgroup.Group
 	ctx      context.Context
 	sessions map[*front.Session]struct{}
 	scratch  []byte // answers are put together here
@@ -53,12 +55,19 @@
 	deaf     bool    // it is missing, and the log says so
 }
 
-// Serve runs a router until the context ends it at once, or a stop ends it once all is answered.
-func Serve(ctx context.Context, stop <-chan struct{}, cfg config.Config, log *zap.Logger) error {
+// datagram is what came from a name server, and on which socket.
+type datagram struct {
+	from *net.UDPConn
+	text []byte
+}
+
+// Serve runs a router until the context ends it at once, or a stop ends it once all is answered. What of a
+// renewed configuration can change while it runs is taken over.
+func Serve(ctx context.Context, stop <-chan struct{}, renewed <-chan config.Config, cfg config.Config, log *zap.Logger) error {
 	s := &service{cfg: cfg, clock: newClock(), log: log, list: members.New(cfg.Settings.Zones, cfg.Settings.Kinds),
-		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), answers: make(chan []byte),
+		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), answers: make(chan datagram),
 		sessions: map[*front.Session]struct{}{}}
-	if err := s.list.Start(cfg.Known); err != nil {
+	if _, err := s.list.Start(cfg.Known); err != nil {
 		return err
 	}
 	listener, err := net.Listen("tcp", cfg.Listen.String())
@@ -72,7 +81,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	s.ctx = ctx
+	s.ctx, s.group = ctx, group
 	memory := int64(cfg.Limits.MemoryMB * (1 << 20))
 	if memory == 0 {
 		memory = 4 << 30
@@ -81,12 +90,12 @@
 	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4)
 	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
 	group.Go(func() error { return s.accept(listener) })
-	group.Go(func() error { return s.hear() })
+	s.hear(s.ask)
 	group.Go(func() error {
 		defer cancel()
-		defer s.ask.Close()
+		defer func() { s.ask.Close() }() // the one of then
 		defer listener.Close()
-		return s.own(stop, listener)
+		return s.own(stop, renewed, listener)
 	})
 	return group.Wait()
 }
@@ -116,32 +125,72 @@
 	}
 }
 
-// hear hands on datagrams of the name server.
-func (s *service) hear() error {
-	for {
-		buf := make([]byte, 9000) // answers hold 8,000 at most
-		n, err := s.ask.Read(buf)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
+// hear hands on datagrams of a name server until its socket is closed.
+func (s *service) hear(ask *net.UDPConn) {
+	s.group.Go(func() error {
+		for {
+			buf := make([]byte, 9000) // answers hold 8,000 at most
+			n, err := ask.Read(buf)
+			if err != nil {
+				if errors.Is(err, net.ErrClosed) {
+					return nil
+				}
+				select { // an unreachable server shows here; asking goes on
+				case <-time.After(20 * time.Millisecond):
+					continue
+				case <-s.ctx.Done():
+					return nil
+				}
 			}
-			select { // an unreachable server shows here; asking goes on
-			case <-time.After(20 * time.Millisecond):
-				continue
+			select {
+			case s.answers <- datagram{ask, buf[:n]}:
 			case <-s.ctx.Done():
 				return nil
 			}
 		}
-		select {
-		case s.answers <- buf[:n]:
-		case <-s.ctx.Done():
-			return nil
+	})
+}
+
+// renew takes over what can change while the router runs: the name server, and news of the list. The rest is said
+// in the log and kept as it was.
+func (s *service) renew(c config.Config) {
+	var kept []string
+	for _, k := range [...]struct {
+		name string
+		same bool
+	}{{"name", c.Name == s.cfg.Name}, {"listen", c.Listen == s.cfg.Listen}, {"limits", c.Limits == s.cfg.Limits},
+		{"settings", reflect.DeepEqual(c.Settings.Seeded(s.cfg.Settings), s.cfg.Settings)}} {
+		if !k.same {
+			kept = append(kept, k.name)
+		}
+	}
+	if fresh, err := s.list.Start(c.Known); err != nil {
+		s.log.Error("list of engines in the new configuration", zap.Error(err))
+	} else if fresh {
+		s.members(brain.Full)
+	}
+	if c.NameServer != s.cfg.NameServer {
+		ask, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(c.NameServer))
+		if err != nil {
+			s.log.Error("name server", zap.Error(err))
+			return
 		}
+		s.ask.Close() // its answers count no more
+		s.ask, s.cfg.NameServer = ask, c.NameServer
+		s.hear(ask)
 	}
+	s.question()
+	s.log.Info("new configuration", zap.Stringer("nameserver", c.NameServer), zap.Strings("kept until a restart", kept))
+}
+
+// question asks for the list of engines.
+func (s *service) question() {
+	s.waits = true
+	s.ask.Write(s.list.Question(nil))
 }
 
 // own is the owner's goroutine.
-func (s *service) own(stop <-chan struct{}, listener net.Listener) error {
+func (s *service) own(stop <-chan struct{}, renewed <-chan config.Config, listener net.Listener) error {
 	// A third of the descriptors is the engines'. Clients keep to a third and get up to a half, since the ends of
 	// their connections are seen a little late; the rest is room.
 	descriptors := s.cfg.Limits.Sockets
@@ -177,13 +226,16 @@
 			s.at(s.clock.now())
 			s.pool.Unstick()
 			if s.ticks++; s.waits || s.ticks%askEvery == 0 {
-				s.waits = true
-				s.ask.Write(s.list.Question(nil))
+				s.question()
 			}
 		case <-tidying.C:
 			s.tidy()
 		case msg := <-s.answers:
-			s.answer(msg)
+			if msg.from == s.ask {
+				s.answer(msg.text)
+			}
+		case c := <-renewed:
+			s.renew(c)
 		case <-timer.C:
 		case <-stop:
 			stop = nil
