Sends spread over connections, so that one spoilt answer costs one send; answers checked whole

Cause: internal/engines/engines.go, Pool.conn put up to 100 sends on one connection, so one spoilt byte cut all of them, and each cut counted against the engine. Now a send takes the connection with the least out, a new one while the engine has less than an equal share of the descriptors that are the engines'. Harm: up to a third of the descriptors in use.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -155,8 +155,8 @@
 	w.t.Helper()
 	seq := w.call(c, profile, 30000, "SELECT 1")
 	s := w.hear("fetch")
-	s.Answer("served", "count=1", "x\n")
-	w.expect(c, served(seq, "x\n"))
+	s.Answer("served", "count=1", "x\t\t\n")
+	w.expect(c, served(seq, "x\t\t\n"))
 	return s
 }
 
@@ -211,7 +211,7 @@
 	late := w.hear("fetch")
 	w.expect(c, fmt.Sprintf(`2/%d call{ 1={ 1=[ cooldown=250 ] } }`, seq))
 	w.hear("abort")
-	late.Answer("served", "count=1", "old\n")
+	late.Answer("served", "count=1", "old\t\t\n")
 	w.serve(c, "lookup")
 }
 
@@ -225,14 +225,14 @@
 	w.expect(c, fmt.Sprintf(`2/%d call{ 2={ 1=[ ] } }`, seq))
 	seq = w.call(c, "lookup", 30000, "SELECT 1")
 	first := w.hear("fetch")
-	first.Answer("served", "count=2", "old\n")
+	first.Answer("served", "count=2", "old\t\t\n")
 	w.hear("more").Die()
 	again := w.hear("fetch")
 	if again.Engine == first.Engine || again.Words[1] != first.Words[1] {
 		t.Errorf("again under %q at the same engine", again.Words)
 	}
-	again.Answer("served", "count=1", "new\n")
-	w.expect(c, served(seq, "new\n"))
+	again.Answer("served", "count=1", "new\t\t\n")
+	w.expect(c, served(seq, "new\t\t\n"))
 }
 
 // TestRefused: an engine that nobody listens for never ran anything, so that even what must not run twice goes on.
@@ -267,8 +267,8 @@
 			t.Fatal("a draining engine was sent something")
 		}
 	}
-	there.Answer("served", "count=1", "y\n")
-	w.expect(c, served(running, "y\n"))
+	there.Answer("served", "count=1", "y\t\t\n")
+	w.expect(c, served(running, "y\t\t\n"))
 }
 
 // TestClients: one that cancels is owed nothing; one that can't be read loses its connection alone.
@@ -279,7 +279,7 @@
 	if !c.Health() { // its answer tells that the cancel was read
 		t.Error("not ready")
 	}
-	w.hear("fetch").Answer("served", "count=1", "unwanted\n")
+	w.hear("fetch").Answer("served", "count=1", "unwanted\t\t\n")
 	bad.Raw([]byte("GET / HTTP/1.1\r\n\r\n"))
 	if got := bad.Next(); got != "closed" && !strings.Contains(got, "reset") {
 		t.Errorf("a client that speaks another protocol got %q", got)
@@ -302,8 +302,8 @@
 		t.Error("still ready")
 	}
 	w.serve(c, "lookup")
-	first.Answer("served", "count=1", "one\n")
-	w.expect(c, served(one, "one\n"))
+	first.Answer("served", "count=1", "one\t\t\n")
+	w.expect(c, served(one, "one\t\t\n"))
 	w.expect(c, "closed")
 	w.ended(0)
 
@@ -344,8 +344,8 @@
 			t.Error("an engine that is gone was sent something")
 		}
 	}
-	open.Answer("served", "count=1", "y\n")
-	w.expect(c, served(seq, "y\n"))
+	open.Answer("served", "count=1", "y\t\t\n")
+	w.expect(c, served(seq, "y\t\t\n"))
 	w.cmd.Process.Signal(syscall.SIGTERM)
 	w.cmd.Process.Signal(syscall.SIGHUP)
 	w.logged("asked to end")
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -3,12 +3,14 @@
 package engines
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"math"
 	"net/netip"
 	"slices"
 	"strconv"
+	"unicode/utf8"
 
 	"dunereach/brain"
 	"dunereach/internal/lines"
@@ -67,6 +69,7 @@
 	Streams int     // sends on one
 	Conns   int     // all together
 	Idle    float64 // engines close them then
+	Stall   float64 // an answer begun goes on within this time, 0: any
 }
 
 // Pool is the engines of the list and the connections to them. All of it is the owner's goroutine's.
@@ -100,6 +103,7 @@
 	spent   map[Ref]struct{} // given up here: an answer under these is late, and no other send's
 	usedAt  float64
 	stuckAt float64 // what is stuck then must not leave any more, 0: nothing is
+	halfAt  float64 // an answer that is not whole yet was begun then, 0: none
 }
 
 func New(owner Owner, limits Limits, dial func(netip.AddrPort, sockets.Sink) Line) *Pool {
@@ -173,9 +177,12 @@
 }
 
 // Unstick drops connections to engines that drain or are gone, in which bytes of sends are stuck: they would leave
-// some time, past the grace. It is to be called some times a second.
+// some time, past the grace. And those on which an answer has stopped short. It is to be called some times a second.
 func (p *Pool) Unstick() {
 	for _, c := range p.conns {
+		if c.halfAt > 0 && p.limits.Stall > 0 && p.now-c.halfAt > p.limits.Stall {
+			c.bad()
+		}
 		if c.stuckAt > 0 && p.now >= c.stuckAt {
 			if c.stuckAt = 0; c.stuck() {
 				c.line.Drop()
@@ -215,18 +222,26 @@
 	}
 }
 
-// conn is one with room for the send. A command that was given up on a connection goes on another: under its
-// id a late answer may still come there.
+// conn is the one with the least out that has room for the send, a new one rather than one in use: what can't be read
+// costs all that is out on its connection, and an answer that stops short holds up all behind it. A new one is had up to
+// an equal share of the connections; past that sends go together. A command that ended on a connection without its
+// result goes on another: under its id a late answer, or a second copy, may still come there.
 func (p *Pool) conn(j *Job, e *engine) *conn {
+	var best *conn
+	has := 0
 	for _, c := range p.conns {
+		if c.engine != j.Engine || c.retired {
+			continue
+		}
+		has++
 		_, out := c.out[j.Ref]
 		_, spent := c.spent[j.Ref]
-		if c.engine == j.Engine && !c.retired && len(c.out) < p.limits.Streams && !out && !spent {
-			return c
+		if len(c.out) < p.limits.Streams && !out && !spent && (best == nil || len(c.out) < len(best.out)) {
+			best = c
 		}
 	}
-	if len(p.conns) >= p.limits.Conns {
-		return nil
+	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns/len(p.engines)) || len(p.conns) >= p.limits.Conns {
+		return best
 	}
 	c := &conn{pool: p, engine: j.Engine, out: map[Ref]*Job{}, spent: map[Ref]struct{}{}}
 	c.line = p.dial(e.addr, c)
@@ -258,14 +273,21 @@
 		} else {
 			c.say(lines.Done(p.scratch[:0], j.Ref[:]))
 		}
-		c.spent[j.Ref] = struct{}{}
-		if len(c.spent) >= 10*p.limits.Streams { // ids of long ago must not pile up
-			c.retired = true
-		}
+		c.spend(j)
+		// One whose time ran out may be the connection's doing, not the engine's: nothing more is sent there.
+		c.retired = c.retired || end == brain.TimedOut
 	}
 	p.endLater(j, end)
 }
 
+// spend notes that a send has ended here without its result.
+func (c *conn) spend(j *Job) {
+	c.spent[j.Ref] = struct{}{}
+	if len(c.spent) >= 10*c.pool.limits.Streams { // ids of long ago must not pile up
+		c.retired = true
+	}
+}
+
 // Renice sets the priority of a send that runs. One that is yet to be written has it with its fetch.
 func (p *Pool) Renice(j *Job) {
 	if j.conn != nil && j.sent && j.got == 0 {
@@ -351,11 +373,20 @@
 		return
 	}
 	if c.parser.Feed(b, c) != nil {
-		c.broken, c.retired = true, true
-		c.line.Bad()
+		c.bad()
+	} else if !c.parser.Half() {
+		c.halfAt = 0
+	} else if c.halfAt == 0 {
+		c.halfAt = c.pool.now
 	}
 }
 
+// bad: what came can't be read, or is not whole and doesn't go on. What is out here ends with the connection.
+func (c *conn) bad() {
+	c.broken, c.retired, c.halfAt = true, true, 0
+	c.line.Bad()
+}
+
 func (c *conn) Ended(how sockets.Ending) {
 	if how == sockets.Finished { // an engine that closes its side answers no more
 		c.retired = true
@@ -377,8 +408,10 @@
 	}
 }
 
-// Answer takes an engine's word. What can't be right ends the connection.
+// Answer takes an engine's word. What can't be right ends the connection; what is right but belongs to nothing that is
+// out, such as a second copy, does no harm.
 func (c *conn) Answer(a lines.Answer) bool {
+	c.halfAt = 0
 	var ref Ref
 	if len(a.ID) != len(ref) {
 		return true // under no id of ours
@@ -398,9 +431,12 @@
 		return c.served(j, a)
 	case "rows":
 		n, ok := lines.Number(lines.Field(a.Fields, "pos"))
-		if !ok || n < 1 || n >= len(j.Pages) || j.Pages[n] != nil {
+		if !ok || n < 1 || n >= len(j.Pages) || !page(a.Body) {
 			return false
 		}
+		if j.Pages[n] != nil {
+			return true
+		}
 		j.page(c.pool, n, a.Body)
 		if j.got == len(j.Pages) {
 			c.done(j)
@@ -409,6 +445,7 @@
 	}
 	end, ok := byWord(a.Word)
 	if ok {
+		c.spend(j)
 		j.finish(c.pool, end)
 	}
 	return ok
@@ -418,10 +455,15 @@
 func (c *conn) served(j *Job, a lines.Answer) bool {
 	const most = 64 // pages: a result has 48,000 bytes at most, a page some thousand
 	count, ok := lines.Number(lines.Field(a.Fields, "count"))
-	if !ok || count < 1 || count > most || j.got > 0 {
+	work, ok1 := figure(lines.Field(a.Fields, "ticks"))
+	memory, ok2 := figure(lines.Field(a.Fields, "footprint"))
+	if !ok || !ok1 || !ok2 || count < 1 || count > most || !page(a.Body) {
 		return false
 	}
-	j.Work, j.Memory = figure(lines.Field(a.Fields, "ticks"))/1000, figure(lines.Field(a.Fields, "footprint"))
+	if j.got > 0 {
+		return true
+	}
+	j.Work, j.Memory = work/1000, memory
 	for range count {
 		j.Pages = append(j.Pages, nil)
 	}
@@ -470,8 +512,27 @@
 	j.Pages = j.Pages[:0]
 }
 
+// page tells whether a page is what the protocol promises: text of whole rows with three columns, 6,000 bytes at most.
+func page(body []byte) bool {
+	const most, columns = 6000, 3
+	if len(body) > most || !utf8.Valid(body) {
+		return false
+	}
+	for len(body) > 0 {
+		row, rest, whole := bytes.Cut(body, []byte("\n"))
+		if !whole || bytes.Count(row, []byte("\t")) != columns-1 {
+			return false
+		}
+		body = rest
+	}
+	return true
+}
+
 func note(fields []byte) (brain.NoteKind, float64, bool) {
-	value := figure(lines.Field(fields, "reading"))
+	value, ok := figure(lines.Field(fields, "reading"))
+	if !ok {
+		return 0, 0, false
+	}
 	switch string(lines.Field(fields, "res")) {
 	case "p":
 		return brain.Progressed, value, true
@@ -483,13 +544,11 @@
 	return 0, 0, false
 }
 
-func figure(b []byte) float64 {
+// figure reads one that may be absent.
+func figure(b []byte) (v float64, ok bool) {
 	if len(b) == 0 {
-		return 0
+		return 0, true
 	}
 	v, err := strconv.ParseFloat(string(b), 64)
-	if err != nil || !(v >= 0 && v < 1e12) {
-		return 0
-	}
-	return v
+	return v, err == nil && v >= 0 && v < 1e12
 }
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -64,7 +64,7 @@
 func start(pieces bool) func(*testing.T, script.Say) func([]string) {
 	return func(t *testing.T, say script.Say) func([]string) {
 		y := &yard{say: say, jobs: map[uint32]*Job{}}
-		y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30}, func(a netip.AddrPort, sink sockets.Sink) Line {
+		y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30, Stall: 0.25}, func(a netip.AddrPort, sink sockets.Sink) Line {
 			w := &wire{yard: y, n: len(y.lines) + 1, sink: sink}
 			y.lines = append(y.lines, w)
 			say("line %d dials %v", w.n, a)
@@ -131,7 +131,7 @@
 			l.begun = l.queued
 		}
 	case "says": // line, words with ID of which "@7" is written out, and | for a line's end
-		text := strings.NewReplacer("@", "00000000000000", "|", "\r\n").Replace(strings.Join(w[3:], " "))
+		text := strings.NewReplacer("@", "00000000000000", "|", "\r\n", "~", "\t", ";", "\n").Replace(strings.Join(w[3:], " "))
 		for size := len(text); len(text) > 0; text = text[size:] {
 			if pieces {
 				size = 1
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -51,6 +51,9 @@
 	return nil
 }
 
+// Half tells whether an answer that is not whole has begun.
+func (p *Parser) Half() bool { return len(p.kept) > 0 }
+
 // next reads one answer off the front; n is 0 where it is not whole.
 func next(b []byte) (a Answer, n int, err error) {
 	end := bytes.Index(b[:min(len(b), maxLine)], []byte("\r\n"))
@@ -70,7 +73,7 @@
 		words[k], rest = word, after
 	}
 	size, ok := Number(words[3])
-	if !ok || size > maxBody {
+	if !ok || size > maxBody || !all(words[0], sign) || !all(words[1], letter) || !fields(words[2]) {
 		return a, 0, ErrGarbled
 	}
 	from := end + 2
@@ -84,6 +87,39 @@
 	return Answer{words[0], words[1], words[2], b[from : n-2]}, n, nil
 }
 
+// An id or tag is of letters, digits and some signs, a word of letters; what else comes is noise, and what is behind
+// it can't be trusted.
+func letter(c byte) bool { return c|0x20 >= 'a' && c|0x20 <= 'z' }
+
+func sign(c byte) bool { return letter(c) || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.' || c == ':' }
+
+func all(word []byte, is func(byte) bool) bool {
+	for _, c := range word {
+		if !is(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// fields is a list of names and values, or "-" for none.
+func fields(list []byte) bool {
+	if string(list) == "-" {
+		return true
+	}
+	for more := true; more; {
+		var f []byte
+		f, list, more = bytes.Cut(list, []byte(","))
+		name, value, ok := bytes.Cut(f, []byte("="))
+		if !ok || len(name) == 0 || !all(name, sign) || !all(value, printed) {
+			return false
+		}
+	}
+	return true
+}
+
+func printed(c byte) bool { return c > ' ' && c < 0x7f && c != '=' }
+
 // Field is the value of a field by its name, nil where it is absent.
 func Field(fields []byte, name string) []byte {
 	for len(fields) > 0 {
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -42,6 +42,11 @@
 		"7 stop - 0\r\n\r\n8 served - 0\r\n\r\n": "7 stop - \"\"\n" + bad,
 		strings.Repeat("a", maxLine):             bad,
 		"7 rows pos=1 9999999\r\n":               bad,
+		"7 se#ved - 0\r\n":                       bad,
+		"7\x00 served - 0\r\n":                   bad,
+		"7 served count 0\r\n":                   bad,
+		"7 served count=2,=3 0\r\n":              bad,
+		"7 served count=2, 0\r\n":                bad,
 	} {
 		for _, size := range []int{1, 3, len(text)} {
 			if diff := cmp.Diff(want, feed(text, size)); diff != "" {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -97,7 +97,7 @@
 	s.take(1, 9, "SELECT 1")
 	s.sink.Up()
 	s.Left(1)
-	s.sink.Feed([]byte("0000000000000001 served count=1,ticks=5 4\r\na b\n\r\n"))
+	s.sink.Feed([]byte("0000000000000001 served count=1,ticks=5 5\r\na\tb\t\n\r\n"))
 	if got := s.answered(); got != "nothing" || len(s.cmds) != 0 {
 		t.Errorf("the client that left got %s; %d in hand", got, len(s.cmds))
 	}
@@ -127,7 +127,7 @@
 	s.take(1, 9, "SELECT 1")
 	s.sink.Up()
 	seq := int32(1)
-	answer := []byte("0000000000000001 served count=1,ticks=5 4\r\na b\n\r\n")
+	answer := []byte("0000000000000001 served count=1,ticks=5 5\r\na\tb\t\n\r\n")
 	course := func() {
 		s.sink.Feed(answer)
 		seq++
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -198,7 +198,9 @@
 		descriptors = 16384
 	}
 	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(descriptors/3, 1),
-		Idle: s.cfg.Settings.ConnIdle}, s.dial)
+		Idle: s.cfg.Settings.ConnIdle,
+		// An engine sends an answer in one go: a pause longer than a connection takes to come up is its end.
+		Stall: s.cfg.Settings.ConnectTimeout}, s.dial)
 	s.heardAt = s.clock.now()
 	s.Router.Start(s.heardAt, pool)
 	s.members(brain.Cached)
