--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -91,7 +91,9 @@
 // it can't be trusted.
 func letter(c byte) bool { return c|0x20 >= 'a' && c|0x20 <= 'z' }
 
-func sign(c byte) bool { return letter(c) || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.' || c == ':' }
+func sign(c byte) bool {
+	return letter(c) || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.' || c == ':'
+}
 
 func all(word []byte, is func(byte) bool) bool {
 	for _, c := range word {
