Clients bounded: silent and idle ones closed, room made when full, fields and ids checked

Seen on rude: 'too many clients' some 140 times in the sampled log of each router; connections that never sent a whole request stayed a minute; ids with = and , and figures such as 0x10 or 1_500 would have reached engines or the module; two waiting clients could have one id. Now: a message not whole within 2 s of its beginning, or none within 2 s of the connection, and 5 s of quiet with nothing open, close the connection (a close is owed in 3 s; usual clients close after 4 s). When the half of the descriptors is full, those go that hold no command, those that never asked first. Bytes of unfinished messages share an eighth of the memory. Ids are 16 hex digits, figures plain decimals in range, no field twice, statements text; 32 calls a connection; an id in hand fails the second call only. What the router's own bound refuses has the settings' longest cooldown.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,10 +3,12 @@
 package front
 
 import (
+	"bytes"
 	"errors"
 	"maps"
 	"slices"
 	"strconv"
+	"unicode/utf8"
 
 	"dunereach/internal/sockets"
 	"dunereach/internal/thrift"
@@ -18,6 +20,7 @@
 	Profile, Tenant       []byte
 	Allow, Effort, Memory float64 // seconds, seconds, MB
 	Statement             []byte
+	have                  uint // fields that came, by their place in the table
 }
 
 // Caller is who asked, by the number that its protocol gives the call. A command that it holds gets one answer.
@@ -33,6 +36,7 @@
 	Take(c Caller, seq int32, a *Ask)
 	Left(id uint32)
 	Ready() bool
+	Room(bytes int) bool // takes memory for what is not whole yet, or gives it back; false: there is no more
 	Bad(how string)
 	Closed(s *Session)
 }
@@ -51,7 +55,10 @@
 	frames  thrift.Frames
 	scratch *[]byte
 	open    map[int32]uint32 // commands by the sequence number of their call
-	idle    int              // ticks since anything came
+	kept    int              // bytes of an unfinished frame
+	begun   int              // ticks that the frame has been unfinished for
+	quiet   int              // ticks since the last whole message or answer
+	asked   bool             // a whole message has come
 	half    bool             // the client has said its last
 	last    bool             // closes once nothing is open
 	broken  bool             // what came can't be read
@@ -69,8 +76,12 @@
 	if s.broken { // what was on its way when the connection was given up
 		return
 	}
-	s.idle = 0
-	if err := s.frames.Feed(b, s.frame); err != nil {
+	err := s.frames.Feed(b, s.frame)
+	was := s.kept
+	if s.kept = s.frames.Kept(); !s.desk.Room(s.kept-was) && err == nil {
+		err = errRoom
+	}
+	if err != nil {
 		s.broken = true
 		s.desk.Bad(err.Error())
 		s.Line.Bad()
@@ -84,6 +95,8 @@
 		s.rest()
 		return
 	}
+	s.desk.Room(-s.kept)
+	s.kept = 0
 	for _, seq := range slices.Sorted(maps.Keys(s.open)) { // in order: equal input must act alike
 		id := s.open[seq]
 		delete(s.open, seq)
@@ -98,25 +111,46 @@
 	s.rest()
 }
 
-// Idle counts a tick, and closes the connection after so many on which nothing came and nothing was open.
-func (s *Session) Idle(ticks int) {
-	if s.idle++; s.idle >= ticks {
+// Ticks come ten a second.
+const (
+	wholeBy = 20 // a client sends a message in one go; one that sends half of it, or none at all, is owed a close in 3 s
+	idleFor = 50 // clients close idle connections after 4 s; what stays longer was forgotten
+)
+
+// Tick closes the connection of one that doesn't ask, or no more.
+func (s *Session) Tick() {
+	if s.quiet++; s.kept > 0 {
+		s.begun++
+	}
+	if s.begun >= wholeBy || !s.asked && s.quiet >= wholeBy || len(s.open) == 0 && s.quiet >= idleFor {
 		s.Last()
 	}
 }
 
+// Spare tells whether the connection can be closed to make room for another, and how well: those that never asked
+// go first, then those that have been quiet for longest.
+func (s *Session) Spare() (rank int, ok bool) {
+	if rank = s.quiet; !s.asked {
+		rank += 1 << 20
+	}
+	return rank, len(s.open) == 0 && !s.last && !s.broken
+}
+
 func (s *Session) rest() {
 	if (s.half || s.last) && len(s.open) == 0 {
 		s.Line.Finish()
 	}
 }
 
+const mostOpen = 32 // calls on one connection, the protocol's
+
 // Hold notes that a call's command is in hand.
 func (s *Session) Hold(seq int32, id uint32) { s.open[seq] = id }
 
 var (
 	errHead  = errors.New("message is not of the strict binary protocol")
 	errTwice = errors.New("sequence number is open already")
+	errRoom  = errors.New("too many unfinished messages")
 )
 
 func (s *Session) frame(frame []byte) error {
@@ -125,11 +159,16 @@
 	if r.Bad || kind != thrift.Call && kind != thrift.Oneway {
 		return errHead
 	}
+	s.asked, s.quiet, s.begun = true, 0, 0
 	switch string(name) {
 	case "call":
 		if _, twice := s.open[seq]; twice {
 			return errTwice
 		}
+		if len(s.open) >= mostOpen {
+			s.except(string(name), seq, thrift.ProtocolError, "too many open calls")
+			return nil
+		}
 		var a Ask
 		if bad := a.read(&r); bad != "" {
 			s.except(string(name), seq, thrift.ProtocolError, bad)
@@ -199,12 +238,21 @@
 		return "arguments can't be read"
 	case !have.body || !have.fields || a.Ref == [16]byte{} || a.Allow == 0 || a.Profile == nil:
 		return "a field is missing"
+	case len(bytes.TrimSpace(a.Statement)) == 0 || bytes.IndexByte(a.Statement, 0) >= 0 || !utf8.Valid(a.Statement):
+		return "the statement is no text"
 	}
 	return ""
 }
 
+// field takes one in; none can stand there twice.
 func (a *Ask) field(name string, value []byte) (ok bool) {
 	ok = true
+	if k := slices.Index(fields[:], name); k >= 0 {
+		if a.have&(1<<k) != 0 {
+			return false
+		}
+		a.have |= 1 << k
+	}
 	switch name {
 	case "service":
 		a.Profile = value
@@ -213,20 +261,29 @@
 	case "ref":
 		ok = len(value) == len(a.Ref)
 		for _, c := range value { // it goes on to engines as a word of a line
-			ok = ok && c > ' ' && c < 0x7f
+			ok = ok && (c >= '0' && c <= '9' || c|0x20 >= 'a' && c|0x20 <= 'f')
 		}
 		copy(a.Ref[:], value)
 	case "allow":
 		a.Allow, ok = number(value, 1000)
 	case "effort":
 		a.Effort, ok = number(value, 1000)
+		ok = ok && a.Effort < 1e6 // work of days on one core is no estimate
 	case "memory":
 		a.Memory, ok = number(value, 1)
 	}
 	return ok
 }
 
+var fields = [...]string{"service", "project", "ref", "allow", "effort", "memory"}
+
+// number reads a plain decimal figure: no sign before it, no infinity, nothing that only some readers take.
 func number(b []byte, unit float64) (float64, bool) {
+	for k, c := range b {
+		if c < '0' && c != '.' && (k == 0 || b[k-1]|0x20 != 'e') || c > '9' && (c|0x20 != 'e' || k == 0) {
+			return 0, false
+		}
+	}
 	v, err := strconv.ParseFloat(string(b), 64)
 	return v / unit, err == nil && v >= 0 && v < 1e12
 }
@@ -281,5 +338,6 @@
 
 func (s *Session) write(b []byte) {
 	*s.scratch = b
+	s.quiet = 0
 	s.Line.Append(b)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,7 +44,10 @@
 	owed   int // commands whose client waits
 	held   int // bytes of their statements
 	budget int
-	ending bool // asked to end: no front should count on this router
+	halves int // bytes of messages that are not whole, and how many there may be
+	room   int
+	refs   map[engines.Ref]struct{} // ids that a client waits under
+	ending bool                     // asked to end: no front should count on this router
 	listed bool
 	profs  map[string]int
 	tens   map[string]int
@@ -54,7 +57,7 @@
 
 // New makes a router that has yet to be told of its engines and of the time.
 func New(set settings.Settings, budget int, log *zap.Logger, names func(uint32) string) *Router {
-	r := &Router{set: set, log: log, names: names, budget: budget, cmds: map[uint32]*command{},
+	r := &Router{set: set, log: log, names: names, budget: budget, room: budget / 2, cmds: map[uint32]*command{}, refs: map[engines.Ref]struct{}{},
 		profs: map[string]int{}, tens: map[string]int{}}
 	// What needs probes, word from other routers or asking for the list is not there: the list comes unasked.
 	r.set.Brain.Peers, r.set.Brain.ProbeLoads, r.set.Brain.Ask = false, false, false
@@ -136,7 +139,12 @@
 	// The settings' bound, and one on memory: what passes them never reaches the module.
 	if r.set.Open > 0 && r.owed >= r.set.Open || r.held+len(a.Statement) > r.budget {
 		r.log.Warn("too much in hand", zap.Int("commands", r.owed), zap.Int("bytes", r.held))
-		client.Shed(seq, 0)
+		client.Shed(seq, r.set.Brain.MaxPause) // as long as clients honour: what filled it takes a while
+		return
+	}
+	if _, twice := r.refs[a.Ref]; twice { // another's answer must not be taken for this one's
+		r.log.Info("id is in hand", zap.ByteString("ref", a.Ref[:]))
+		client.Failed(seq)
 		return
 	}
 	var c *command
@@ -153,7 +161,7 @@
 	*c = command{client: client, seq: seq, dueBy: r.now + a.Allow, job: engines.Job{ID: r.lastID, Number: -1, Ref: a.Ref,
 		Profile: r.set.Profiles[profile], Statement: append(c.job.Statement[:0], a.Statement...), Level: noPriority,
 		Pages: c.job.Pages}}
-	r.cmds[c.job.ID] = c
+	r.cmds[c.job.ID], r.refs[a.Ref] = c, struct{}{}
 	r.owed++
 	r.held += len(c.job.Statement)
 	client.Hold(seq, c.job.ID)
@@ -171,6 +179,12 @@
 	}
 }
 
+// Room counts the bytes of messages that are not whole.
+func (r *Router) Room(bytes int) bool {
+	r.halves += bytes
+	return bytes <= 0 || r.halves <= r.room
+}
+
 func (r *Router) Bad(how string) {
 	r.log.Warn("client can't be read", zap.String("why", how))
 }
@@ -178,6 +192,7 @@
 // over notes that nothing is owed any more.
 func (r *Router) over(c *command) {
 	c.job.Unwanted, c.client = true, nil
+	delete(r.refs, c.job.Ref)
 	r.owed--
 	r.held -= len(c.job.Statement)
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -86,7 +86,8 @@
 	if memory == 0 {
 		memory = 4 << 30
 	}
-	// A quarter of the memory for answers on their way out, and one for statements in hand.
+	// A quarter of the memory for answers on their way out, and one for statements in hand; half of that for messages
+	// that are not whole yet.
 	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4)
 	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
 	group.Go(func() error { return s.accept(listener) })
@@ -191,8 +192,8 @@
 
 // own is the owner's goroutine.
 func (s *service) own(stop <-chan struct{}, renewed <-chan config.Config, listener net.Listener) error {
-	// A third of the descriptors is the engines'. Clients keep to a third and get up to a half, since the ends of
-	// their connections are seen a little late; the rest is room.
+	// A third of the descriptors is the engines'. Usual clients keep to a third and clients get up to a half, past
+	// which those go that hold no command; the rest is room for those that are on their way out.
 	descriptors := s.cfg.Limits.Sockets
 	if descriptors == 0 {
 		descriptors = 16384
@@ -227,6 +228,9 @@
 		case <-asking.C:
 			s.at(s.clock.now())
 			s.pool.Unstick()
+			for c := range s.sessions {
+				c.Tick()
+			}
 			if s.ticks++; s.waits || s.ticks%askEvery == 0 {
 				s.question()
 			}
@@ -263,7 +267,7 @@
 }
 
 func (s *service) arrive(nc net.Conn, most int, closing bool) {
-	if len(s.sessions) >= most {
+	if len(s.sessions) >= most && (!s.letGo() || len(s.sessions) >= most+most/8) {
 		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
 		nc.Close()
 		return
@@ -280,12 +284,23 @@
 	}
 }
 
-// tidy closes connections that nothing has come on for long, of clients as of engines.
-func (s *service) tidy() {
-	const ticks = 60 // seconds: clients close idle ones after 4 s; what stays that long was forgotten
+// letGo closes the connection that can best be spared.
+func (s *service) letGo() bool {
+	var spare *front.Session
+	best := -1
 	for c := range s.sessions {
-		c.Idle(ticks)
+		if rank, ok := c.Spare(); ok && rank > best {
+			spare, best = c, rank
+		}
 	}
+	if spare != nil {
+		spare.Last()
+	}
+	return spare != nil
+}
+
+// tidy closes connections to engines that were idle for long, and says when the name server is missing.
+func (s *service) tidy() {
 	s.pool.Tidy()
 	const silent = 3 // seconds: thirty questions with no answer are no chance
 	if now := s.clock.now(); !s.deaf && now-s.heardAt > silent {
--- a/internal/thrift/frames.go
+++ b/internal/thrift/frames.go
@@ -40,6 +40,9 @@
 	return nil
 }
 
+// Kept is how many bytes of an unfinished frame are held.
+func (f *Frames) Kept() int { return len(f.kept) }
+
 // Type of a value on the wire.
 type Type byte
 
