--- a/brain/brain.go
+++ b/brain/brain.go
@@ -422,7 +422,7 @@
 	return max(e.cores*perCore-e.others, e.cores*perCore*b.share)
 }
 
-const wellAbove = 1.8 // slowdown over best from which an engine is pressed
+const wellAbove = 2.2 // slowdown over best from which an engine is pressed: tiny commands run at 2 on quiet days
 
 // pressed: answers come well above best there, any profile's far above, or threads known of fill the cores.
 func (b *Brain) pressed(p *profile, e *engine) bool {
@@ -430,7 +430,7 @@
 	if !e.known { // others' load: twice an equal share, or many routers fill an engine before answers show it
 		full *= min(1, 2*b.share)
 	}
-	return max(p.slow*b.slowOf(e), b.slowest/1.4) > wellAbove || // 1.4: tiny ones run at 2 on quiet days
+	return max(p.slow*b.slowOf(e), b.slowest) > wellAbove ||
 		e.threads+e.others >= max(full*e.cores, 1) ||
 		!e.known && b.all.threads+float64(p.Threads) > full*b.all.cores
 }
