An engine whose records are missing in the name server's answer is not gone; turnover held still

Now known engines keep what is known of them, with the state that the list tells; an unknown one is left out and the list stays news. Harm: an engine whose record is missing for good is asked for ten times a second, in the log as well.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -10,6 +10,21 @@
 // events must give equal actions, so each is played twice.
 func TestTraces(t *testing.T) { script.Compare(t, play, play) }
 
+// TestTurnover: places of engines that are gone are used again, and nothing of commands that are over stays.
+func TestTurnover(t *testing.T) {
+	h := &deafHost{}
+	b := New(defaults(), 0, h)
+	for k := range 1000 {
+		now, id := float64(k), uint32(k+1)
+		b.Members(now, Full, []Entry{{Engine: id, State: Ready}})
+		b.Command(now, Command{ID: id, TimeLeft: 4, Cost: 0.1})
+		b.Outcome(now, Outcome{ID: id, Engine: h.engine, End: Answered, Lag: 0.1, Work: 0.1, Over: true})
+	}
+	if len(b.engines) > 2 || len(b.index) > 2 || len(b.cmds.rec) > 1 || len(b.cmds.at) > 0 {
+		t.Errorf("%d engines under %d ids, %d commands", len(b.engines), len(b.index), len(b.cmds.rec))
+	}
+}
+
 type deafHost struct{ engine uint32 }
 
 func (h *deafHost) Send(_, engine uint32, _ float64) { h.engine = engine }
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -147,5 +147,29 @@
 	}
 }
 
+// TestTurnover: however many engines have come and gone, some at the same address, nothing of them stays.
+func TestTurnover(t *testing.T) {
+	y := &yard{say: func(string, ...any) {}, jobs: map[uint32]*Job{}}
+	y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30}, func(_ netip.AddrPort, sink sockets.Sink) Line {
+		y.lines = append(y.lines, &wire{yard: y, sink: sink})
+		return y.lines[len(y.lines)-1]
+	})
+	for k := range 1000 {
+		n := uint32(k + 1)
+		y.pool.Members([]brain.Entry{{Engine: n, State: brain.Ready}}, func(uint32) netip.AddrPort { return netip.AddrPort{} })
+		j := &Job{ID: n, Engine: n, Until: 9, Profile: "report"}
+		copy(j.Ref[:], "0000000000000000")
+		y.pool.Send(j)
+		y.lines[k].sink.Up()
+		y.lines[k].sink.Feed([]byte("0000000000000000 served count=1 5\r\na\tb\t\n\r\n"))
+		if k > 0 {
+			y.lines[k-1].sink.Ended(sockets.Closed)
+		}
+	}
+	if len(y.pool.engines) != 1 || len(y.pool.conns) != 1 || len(y.pool.later) != 0 || len(y.pool.spare) > 1 {
+		t.Errorf("%d engines, %d connections, %d to be told, %d pages", len(y.pool.engines), len(y.pool.conns), len(y.pool.later), len(y.pool.spare))
+	}
+}
+
 // TestScripts plays each script with what engines say in one piece, and byte by byte.
 func TestScripts(t *testing.T) { script.Play(t, start(false), start(true)) }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -41,7 +41,10 @@
 	BootMs   float64 `json:"boot_ms"`
 }
 
-var errNotAsked = errors.New("an answer to no question of ours")
+var (
+	errNotAsked = errors.New("an answer to no question of ours")
+	errOlder    = errors.New("an older list")
+)
 
 // Known is all that was told before the start.
 type Known struct {
@@ -156,7 +159,8 @@
 
 // Answer takes in what the name server sends; fresh is false where the list in hand is as new. A list is news even
 // where single engines in it can't be used, or the drains beside them would go unheard: those are left out, and the
-// error tells of the last.
+// error tells of the last. An engine whose own records are missing beside its place in the list is not gone: it stays
+// as it was known, and one that was not known has the list asked for again.
 func (f *Follower) Answer(msg []byte) (fresh bool, err error) {
 	l, err := dns.Parse(msg, Record)
 	if err != nil {
@@ -165,10 +169,13 @@
 	if k := slices.Index(f.asked[:min(f.next, len(f.asked))], l.ID); k < 0 {
 		return false, errNotAsked
 	}
-	if l.Serial <= f.rev { // events are counted from 1 at each start: the number never wraps
+	if l.Serial < f.rev { // events are counted from 1 at each start: the number never wraps
+		return false, errOlder
+	} else if l.Serial == f.rev {
 		return false, nil
 	}
 	var odd error
+	rev := l.Serial
 	list := make([]brain.Entry, 0, len(l.Services))
 	addrs := make(map[uint32]netip.AddrPort, len(l.Services))
 	for _, s := range l.Services {
@@ -178,6 +185,21 @@
 		if s.Priority > 0 {
 			e.State = brain.Draining
 		}
+		if lacks := !s.Addr.IsValid() || len(s.Text) == 0; lacks {
+			odd = fmt.Errorf("engine %s: records are missing", uid)
+			n, ok := f.numbers[uid]
+			k := slices.IndexFunc(f.list, func(o brain.Entry) bool { return o.Engine == n })
+			if !ok || k < 0 {
+				rev = f.rev
+				continue
+			}
+			state := e.State
+			e = f.list[k]
+			e.State = state
+			addrs[n] = f.addrs[n]
+			list = append(list, e)
+			continue
+		}
 		for _, t := range s.Text {
 			key, value, _ := strings.Cut(t, "=")
 			switch key {
@@ -193,7 +215,7 @@
 				break
 			}
 		}
-		if err != nil || uid == "" || e.Zone < 0 || e.Kind < 0 || !s.Addr.IsValid() {
+		if err != nil || uid == "" || e.Zone < 0 || e.Kind < 0 {
 			odd = fmt.Errorf("engine %s left out: zone %q, text %q, address %v", uid, zone, s.Text, s.Addr)
 			err = nil
 			continue
@@ -209,6 +231,6 @@
 			delete(f.names, n)
 		}
 	}
-	f.rev, f.list, f.addrs = l.Serial, list, addrs
+	f.rev, f.list, f.addrs = rev, list, addrs
 	return true, odd
 }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -122,6 +122,49 @@
 	}
 }
 
+// TestRecordsMissing: an engine whose address or text is missing beside its place in the list is not gone; what else
+// the list tells of it counts. One that was never known has the list taken as news again when it is whole.
+func TestRecordsMissing(t *testing.T) {
+	f := follower(t)
+	cut := func(serial uint32, drop int, engines ...string) []byte { // the record of that number, counted from 0, is of another type
+		msg := reply(question(f), serial, engines...)
+		at := len(dns.Query(nil, 0, Record))
+		for range drop {
+			at += 12 + int(binary.BigEndian.Uint16(msg[at+10:]))
+		}
+		msg[at+3] = 99
+		return msg
+	}
+	drains := []string{"s-00c41f7a.east 1 40 std 2 0 10.1.0.9:4100", same[1], same[2]}
+	for drop := 1; drop <= 2; drop++ { // its address, its text
+		if fresh, err := f.Answer(cut(41+uint32(drop), drop, drains...)); !fresh || err == nil || len(f.List()) != 3 ||
+			f.List()[0].State != brain.Draining || f.Addr(f.List()[0].Engine).String() != "10.1.0.9:4100" {
+			t.Error(drop, fresh, err, state(f))
+		}
+	}
+	added := append(drains, "s-new.east 0 40 std 2 0 10.1.0.6:4100")
+	if fresh, err := f.Answer(cut(50, 10, added...)); !fresh || err == nil || len(f.List()) != 3 {
+		t.Error(fresh, err, state(f))
+	}
+	if fresh, err := f.Answer(reply(question(f), 50, added...)); !fresh || err != nil || len(f.List()) != 4 || f.Rev() != 50 {
+		t.Error(fresh, err, state(f))
+	}
+	if fresh, err := f.Answer(reply(question(f), 49, same...)); fresh || err != errOlder {
+		t.Error("an older list:", fresh, err)
+	}
+}
+
+// TestTurnover: however many engines have come and gone, their names are kept to a bound.
+func TestTurnover(t *testing.T) {
+	f := follower(t)
+	for k := range 3000 {
+		f.Answer(reply(question(f), 50+uint32(k), fmt.Sprintf("s-%d.east 0 40 std 2 0 10.1.0.9:4100", k)))
+	}
+	if len(f.List()) != 1 || len(f.names) > 1001 || len(f.numbers) != len(f.names) || len(f.addrs) != 1 {
+		t.Errorf("%d engines, %d names, %d numbers, %d addresses", len(f.List()), len(f.names), len(f.numbers), len(f.addrs))
+	}
+}
+
 // TestBadMessages: cut short anywhere, with a pointer that leads in a circle or forward, with a name that is too
 // long, truncated or with an error, an answer is refused whole.
 func TestBadMessages(t *testing.T) {
