A page that does not come ends its connection, instead of holding the send to its time-out

Probe: 51 of 207 sends given up had all pages but one; no page that came took over 20 ms. Cause: internal/engines, Unstick: only an answer begun was bounded, not the pages that were asked for. Ruled out: refusal by estimate (all were sent), slow engines. Now the same bound holds for both.

--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -36,13 +36,14 @@
 	Pages        [][]byte // good until Ended returns
 	Work, Memory float64
 
-	out  bool
-	over bool // it has ended, and its owner is yet to be told so
-	end  brain.End
-	conn *conn
-	sent bool
-	from int64 // where its bytes begin on the connection
-	got  int
+	out   bool
+	over  bool // it has ended, and its owner is yet to be told so
+	end   brain.End
+	conn  *conn
+	sent  bool
+	from  int64 // where its bytes begin on the connection
+	got   int
+	gotAt float64 // when the latest page came
 }
 
 // Out tells whether the send's end is yet to be told.
@@ -69,7 +70,7 @@
 	Streams int     // sends on one
 	Conns   int     // all together
 	Idle    float64 // engines close them then
-	Stall   float64 // an answer begun goes on within this time, 0: any
+	Stall   float64 // an answer begun, and a page asked for, go on within this time, 0: any
 }
 
 // Pool is the engines of the list and the connections to them. All of it is the owner's goroutine's.
@@ -177,10 +178,10 @@
 }
 
 // Unstick drops connections to engines that drain or are gone, in which bytes of sends are stuck: they would leave
-// some time, past the grace. And those on which an answer has stopped short. It is to be called some times a second.
+// some time, past the grace. And those on which an answer has stopped short, or a page does not come. It is to be called some times a second.
 func (p *Pool) Unstick() {
 	for _, c := range p.conns {
-		if c.halfAt > 0 && p.limits.Stall > 0 && p.now-c.halfAt > p.limits.Stall {
+		if p.limits.Stall > 0 && !c.broken && c.stopped(p.now-p.limits.Stall) {
 			c.bad()
 		}
 		if c.stuckAt > 0 && p.now >= c.stuckAt {
@@ -191,6 +192,17 @@
 	}
 }
 
+// stopped tells whether an answer, or the pages of a result, have not gone on since then. The engine has the whole
+// result when it sends the first page.
+func (c *conn) stopped(since float64) bool {
+	for _, j := range c.out {
+		if j.got > 0 && j.gotAt < since {
+			return true
+		}
+	}
+	return c.halfAt > 0 && c.halfAt < since
+}
+
 // jobs is all that is out on a connection, in the order in which it came to the module.
 func (c *conn) jobs() []*Job {
 	return slices.SortedFunc(maps.Values(c.out), func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
@@ -498,7 +510,7 @@
 		buf = make([]byte, 0, 6000)
 	}
 	j.Pages[n] = append(buf[:0], body...)
-	j.got++
+	j.got, j.gotAt = j.got+1, p.now
 }
 
 func (p *Pool) freePages(j *Job) {
