--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -240,6 +240,30 @@
 	w.expect(c, served(seq, "new\t\t\n"))
 }
 
+// TestSpoilt: an answer that can't be read costs the send that it came for; what else runs at that engine goes on, and
+// the command goes elsewhere. A second copy of a good answer costs nothing.
+func TestSpoilt(t *testing.T) {
+	w := newTown(t, 2)
+	c := standin.NewClient(t, w.addr)
+	var open []standin.Said
+	var seqs []int32
+	for range 4 {
+		seqs = append(seqs, w.call(c, "lookup", 30000, "SELECT 1"))
+		open = append(open, w.hear("fetch"))
+	}
+	open[0].Raw(open[0].Words[1] + " served count=1 3000000000\r\nnoise")
+	again := w.hear("fetch")
+	if again.Words[1] != open[0].Words[1] || again.Engine == open[0].Engine {
+		t.Errorf("again %q at the same engine", again.Words)
+	}
+	for k, s := range append([]standin.Said{again}, open[1:]...) {
+		s.Answer("served", "count=1", "x\t\t\n")
+		s.Answer("served", "count=1", "y\t\t\n")
+		w.expect(c, served(seqs[k], "x\t\t\n"))
+	}
+	w.serve(c, "lookup")
+}
+
 // TestRefused: an engine that nobody listens for never ran anything, so that even what must not run twice goes on.
 func TestRefused(t *testing.T) {
 	w := newTown(t, 2)
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -178,7 +178,8 @@
 }
 
 // Unstick drops connections to engines that drain or are gone, in which bytes of sends are stuck: they would leave
-// some time, past the grace. And those on which an answer has stopped short, or a page does not come. It is to be called some times a second.
+// some time, past the grace. And those on which an answer has stopped short, or a page does not come. It is to be
+// called some times a second.
 func (p *Pool) Unstick() {
 	for _, c := range p.conns {
 		if p.limits.Stall > 0 && !c.broken && c.stopped(p.now-p.limits.Stall) {
@@ -236,7 +237,8 @@
 
 // conn is the one with the least out that has room for the send, a new one rather than one in use: what can't be read
 // costs all that is out on its connection, and an answer that stops short holds up all behind it. A new one is had up to
-// an equal share of the connections; past that sends go together. A command that ended on a connection without its
+// an equal share of three quarters of the connections, the rest being for those on their way out and for new engines;
+// past that sends go together. A command that ended on a connection without its
 // result goes on another: under its id a late answer, or a second copy, may still come there.
 func (p *Pool) conn(j *Job, e *engine) *conn {
 	var best *conn
@@ -252,7 +254,7 @@
 			best = c
 		}
 	}
-	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns/len(p.engines)) || len(p.conns) >= p.limits.Conns {
+	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns*3/4/len(p.engines)) || len(p.conns) >= p.limits.Conns {
 		return best
 	}
 	c := &conn{pool: p, engine: j.Engine, out: map[Ref]*Job{}, spent: map[Ref]struct{}{}}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,8 +57,8 @@
 
 // New makes a router that has yet to be told of its engines and of the time.
 func New(set settings.Settings, budget int, log *zap.Logger, names func(uint32) string) *Router {
-	r := &Router{set: set, log: log, names: names, budget: budget, room: budget / 2, cmds: map[uint32]*command{}, refs: map[engines.Ref]struct{}{},
-		profs: map[string]int{}, tens: map[string]int{}}
+	r := &Router{set: set, log: log, names: names, budget: budget, room: budget / 2,
+		cmds: map[uint32]*command{}, refs: map[engines.Ref]struct{}{}, profs: map[string]int{}, tens: map[string]int{}}
 	// What needs probes, word from other routers or asking for the list is not there: the list comes unasked.
 	r.set.Brain.Peers, r.set.Brain.ProbeLoads, r.set.Brain.Ask = false, false, false
 	for k, name := range set.Profiles {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -156,6 +156,9 @@
 	fmt.Fprintf(s.conn, "%s %s %s %d\r\n%s\r\n", s.Words[1], word, fields, len(body), body)
 }
 
+// Raw sends bytes as they are on the connection that it came on.
+func (s Said) Raw(text string) { io.WriteString(s.conn, text) }
+
 // Die resets the connection, as a dying process does.
 func (s Said) Die() {
 	s.conn.(*net.TCPConn).SetLinger(0)
