--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -238,8 +238,8 @@
 // conn is the one with the least out that has room for the send, a new one rather than one in use: what can't be read
 // costs all that is out on its connection, and an answer that stops short holds up all behind it. A new one is had up to
 // an equal share of three quarters of the connections, the rest being for those on their way out and for new engines;
-// past that sends go together. A command that ended on a connection without its
-// result goes on another: under its id a late answer, or a second copy, may still come there.
+// past that sends go together. A command that ended on a connection without its result goes on another: under its id a
+// late answer, or a second copy, may still come there.
 func (p *Pool) conn(j *Job, e *engine) *conn {
 	var best *conn
 	has := 0
@@ -445,7 +445,7 @@
 		return c.served(j, a)
 	case "rows":
 		n, ok := lines.Number(lines.Field(a.Fields, "pos"))
-		if !ok || n < 1 || n >= len(j.Pages) || !page(a.Body) {
+		if !ok || n < 1 || n >= len(j.Pages) || !wholeRows(a.Body) {
 			return false
 		}
 		if j.Pages[n] != nil {
@@ -471,7 +471,7 @@
 	count, ok := lines.Number(lines.Field(a.Fields, "count"))
 	work, ok1 := figure(lines.Field(a.Fields, "ticks"))
 	memory, ok2 := figure(lines.Field(a.Fields, "footprint"))
-	if !ok || !ok1 || !ok2 || count < 1 || count > most || !page(a.Body) {
+	if !ok || !ok1 || !ok2 || count < 1 || count > most || !wholeRows(a.Body) {
 		return false
 	}
 	if j.got > 0 {
@@ -526,8 +526,8 @@
 	j.Pages = j.Pages[:0]
 }
 
-// page tells whether a page is what the protocol promises: text of whole rows with three columns, 6,000 bytes at most.
-func page(body []byte) bool {
+// wholeRows tells whether a page is what the protocol promises: text of whole rows with three columns, 6,000 bytes at most.
+func wholeRows(body []byte) bool {
 	const most, columns = 6000, 3
 	if len(body) > most || !utf8.Valid(body) {
 		return false
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -185,19 +185,16 @@
 		if s.Priority > 0 {
 			e.State = brain.Draining
 		}
-		if lacks := !s.Addr.IsValid() || len(s.Text) == 0; lacks {
+		if !s.Addr.IsValid() || len(s.Text) == 0 {
 			odd = fmt.Errorf("engine %s: records are missing", uid)
-			n, ok := f.numbers[uid]
-			k := slices.IndexFunc(f.list, func(o brain.Entry) bool { return o.Engine == n })
-			if !ok || k < 0 {
+			n := f.numbers[uid] // 0, which no engine has, for one never heard of
+			if k := slices.IndexFunc(f.list, func(o brain.Entry) bool { return o.Engine == n }); k >= 0 {
+				was := f.list[k]
+				was.State, addrs[n] = e.State, f.addrs[n]
+				list = append(list, was)
+			} else {
 				rev = f.rev
-				continue
 			}
-			state := e.State
-			e = f.list[k]
-			e.State = state
-			addrs[n] = f.addrs[n]
-			list = append(list, e)
 			continue
 		}
 		for _, t := range s.Text {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,8 +44,7 @@
 	owed   int // commands whose client waits
 	held   int // bytes of their statements
 	budget int
-	halves int // bytes of messages that are not whole, and how many there may be
-	room   int
+	halves int                      // bytes of messages that are not whole
 	refs   map[engines.Ref]struct{} // ids that a client waits under
 	ending bool                     // asked to end: no front should count on this router
 	listed bool
@@ -57,7 +56,7 @@
 
 // New makes a router that has yet to be told of its engines and of the time.
 func New(set settings.Settings, budget int, log *zap.Logger, names func(uint32) string) *Router {
-	r := &Router{set: set, log: log, names: names, budget: budget, room: budget / 2,
+	r := &Router{set: set, log: log, names: names, budget: budget,
 		cmds: map[uint32]*command{}, refs: map[engines.Ref]struct{}{}, profs: map[string]int{}, tens: map[string]int{}}
 	// What needs probes, word from other routers or asking for the list is not there: the list comes unasked.
 	r.set.Brain.Peers, r.set.Brain.ProbeLoads, r.set.Brain.Ask = false, false, false
@@ -179,10 +178,10 @@
 	}
 }
 
-// Room counts the bytes of messages that are not whole.
+// Room counts the bytes of messages that are not whole: half as many as of statements in hand.
 func (r *Router) Room(bytes int) bool {
 	r.halves += bytes
-	return bytes <= 0 || r.halves <= r.room
+	return bytes <= 0 || r.halves <= r.budget/2
 }
 
 func (r *Router) Bad(how string) {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -91,7 +91,8 @@
 	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4)
 	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
 	group.Go(func() error { return s.accept(listener) })
-	s.hear(s.ask)
+	first := s.ask // a renewed configuration may bring another
+	group.Go(func() error { return s.hear(first) })
 	group.Go(func() error {
 		defer cancel()
 		defer func() { s.ask.Close() }() // the one of then
@@ -127,40 +128,40 @@
 }
 
 // hear hands on datagrams of a name server until its socket is closed.
-func (s *service) hear(ask *net.UDPConn) {
-	s.group.Go(func() error {
-		for {
-			buf := make([]byte, 9000) // answers hold 8,000 at most
-			n, err := ask.Read(buf)
-			if err != nil {
-				if errors.Is(err, net.ErrClosed) {
-					return nil
-				}
-				select { // an unreachable server shows here; asking goes on
-				case <-time.After(20 * time.Millisecond):
-					continue
-				case <-s.ctx.Done():
-					return nil
-				}
+func (s *service) hear(ask *net.UDPConn) error {
+	for {
+		buf := make([]byte, 9000) // answers hold 8,000 at most
+		n, err := ask.Read(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
 			}
-			select {
-			case s.answers <- datagram{ask, buf[:n]}:
+			select { // an unreachable server shows here; asking goes on
+			case <-time.After(20 * time.Millisecond):
+				continue
 			case <-s.ctx.Done():
 				return nil
 			}
 		}
-	})
+		select {
+		case s.answers <- datagram{ask, buf[:n]}:
+		case <-s.ctx.Done():
+			return nil
+		}
+	}
 }
 
 // renew takes over what can change while the router runs: the name server, and news of the list. The rest is said
 // in the log and kept as it was.
 func (s *service) renew(c config.Config) {
+	settings := c.Settings
+	settings.Brain.Seed = s.cfg.Settings.Brain.Seed // new each time they are told, which is no change
 	var kept []string
 	for _, k := range [...]struct {
 		name string
 		same bool
 	}{{"name", c.Name == s.cfg.Name}, {"listen", c.Listen == s.cfg.Listen}, {"limits", c.Limits == s.cfg.Limits},
-		{"settings", reflect.DeepEqual(c.Settings.Seeded(s.cfg.Settings), s.cfg.Settings)}} {
+		{"settings", reflect.DeepEqual(settings, s.cfg.Settings)}} {
 		if !k.same {
 			kept = append(kept, k.name)
 		}
@@ -178,7 +179,7 @@
 		}
 		s.ask.Close() // its answers count no more
 		s.ask, s.cfg.NameServer = ask, c.NameServer
-		s.hear(ask)
+		s.group.Go(func() error { return s.hear(ask) })
 	}
 	s.question()
 	s.log.Info("new configuration", zap.Stringer("nameserver", c.NameServer), zap.Strings("kept until a restart", kept))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,12 +25,6 @@
 	Longest        float64 // the longest client timeout
 }
 
-// Seeded is a copy with another's seed: that one is new each time the settings are told, and means no change.
-func (s Settings) Seeded(as Settings) Settings {
-	s.Brain.Seed = as.Brain.Seed
-	return s
-}
-
 // bootInfo is the wire's settings; times are in milliseconds. Unknown keys are skipped.
 type bootInfo struct {
 	Balancers, Me, MyZone int
