--- a/brain/brain.go
+++ b/brain/brain.go
@@ -471,7 +471,7 @@
 func (b *Brain) pressed(p *profile, e *engine) bool {
 	full := 1.5   // threads a core
 	if !e.known { // others' load: twice an equal share, or many routers fill an engine before answers show it
-		full *= min(1, 4*b.share)
+		full *= min(1, 2*b.share)
 	}
 	return max(p.slow*b.slowOf(e), b.slowest) > wellAbove ||
 		e.threads+e.others >= max(full*e.cores, 1) ||
