--- a/brain/brain.go
+++ b/brain/brain.go
@@ -416,7 +416,7 @@
 // a burst at the start. A share under one command of the lane comes in turns: the budget since its start is
 // cut into commands, each one router's for half a window: all together stay in one and a half of it.
 func (b *Brain) coldBudget(e *engine) float64 {
-	const margin = 1.0
+	const margin = 0.5
 	all := b.set.FallMultiple * e.cores * margin
 	since := func(age float64) float64 { // the budget up to an age
 		age = max(age, 0)
