--- a/internal/command/platform_test.go
+++ b/internal/command/platform_test.go
@@ -14,15 +14,7 @@
 // operators' file, reading the configuration and taking it again at SIGHUP must start none. The test binary has no
 // dunecheck beside it, so any start would come back as an error; the second half shows that it does.
 func TestNoProgramStartedWithoutOperatorsFile(t *testing.T) {
-	dir := t.TempDir()
-	settings := filepath.Join(dir, "settings.json")
-	example, err := os.ReadFile(filepath.Join("..", "..", "deploy", "example.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(settings, example, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	settings := filepath.Join("..", "..", "deploy", "example.json")
 	env := func(k string) string {
 		return map[string]string{"BALANCER_CONFIG": settings, "BALANCER_NAME": "r1", "BALANCER_LISTEN": "127.0.0.1:0"}[k]
 	}
@@ -34,7 +26,7 @@
 		t.Fatalf("without an operators' file SIGHUP starts no check: %v", err)
 	}
 
-	operatorFile := filepath.Join(dir, "operator.json")
+	operatorFile := filepath.Join(t.TempDir(), "operator.json")
 	if err := os.WriteFile(operatorFile, []byte(`{}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
