A decided close takes nothing more, and a close over unread bytes lingers

Seen, by tests over real connections that force each order (all red before): - a call read after the close was decided was taken and sent on, its answer lost: front.Session.Feed and frame asked only for `broken`, while sockets.write had left after Finish (TestCrosses); - a connection closed over unread bytes was reset: "read: connection reset by peer" in place of a clean end (TestLingering); the same for a client turned away on arrival (service.arrive's nc.Close) and for all in the accept queue when the listener closed at the end of the grace (TestAcceptQueue, TestTurnedAway); - at that instant `select` picks either, so a call that was ready was dropped (TestInTime: "what was ready was not taken"); - on a connection that waits for its last answers, new calls were taken without end.

Ruled out: bytes written before Finish being lost on our side; write sends all first.

Change: the session knows that its close is decided; what comes until then, while something is open, is shed; arrivals for which there is no room and those of the accept queue have their first call shed; Finish shuts the write side, reads on with bounds in bytes (64 KiB), time (0.5 s) and number (a sixteenth of the descriptors), then closes. What can't be read ends what is open at once, and what was answered goes out first (before: dropped with it).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,7 +51,6 @@
 type Line interface {
 	Append(b []byte) int64
 	Finish()
-	Bad()
 }
 
 // Session is one client's connection.
@@ -66,8 +65,9 @@
 	quiet   int              // ticks since the last whole message or answer
 	asked   bool             // a whole message has come
 	half    bool             // the client has said its last
-	last    bool             // closes once nothing is open
-	broken  bool             // what came can't be read
+	last    bool             // takes no more commands, and closes once nothing is open
+	turned  bool             // was turned away on arrival: its first message is still owed an answer
+	closed  bool             // what comes now crosses the close, and is nobody's
 }
 
 // NewSession is a session at a desk. The scratch is where answers are put together, one after the other.
@@ -77,9 +77,9 @@
 
 func (s *Session) Up() {}
 
-// Feed takes bytes as they come.
+// Feed takes bytes as they come. Once the close is decided nothing more is taken: its answer would never leave.
 func (s *Session) Feed(b []byte) {
-	if s.broken { // what was on its way when the connection was given up
+	if s.closed {
 		return
 	}
 	err := s.frames.Feed(b, s.frame)
@@ -87,10 +87,28 @@
 	if s.kept = s.frames.Kept(); !s.desk.Room(s.kept-was) && err == nil {
 		err = errRoom
 	}
-	if err != nil {
-		s.broken = true
+	if err != nil && !s.closed { // nothing behind it can be read; what was answered before still goes out
 		s.desk.Bad(err.Error())
-		s.Line.Bad()
+		s.abandon()
+		s.finish()
+	}
+}
+
+// abandon: nobody waits for what is open here.
+func (s *Session) abandon() {
+	s.desk.Room(-s.kept)
+	s.kept, s.frames = 0, thrift.Frames{}
+	for _, seq := range slices.Sorted(maps.Keys(s.open)) { // in order: equal input must act alike
+		id := s.open[seq]
+		delete(s.open, seq)
+		s.desk.Left(id)
+	}
+}
+
+func (s *Session) finish() {
+	if !s.closed {
+		s.closed = true
+		s.Line.Finish()
 	}
 }
 
@@ -101,25 +119,26 @@
 		s.rest()
 		return
 	}
-	s.desk.Room(-s.kept)
-	s.kept = 0
-	for _, seq := range slices.Sorted(maps.Keys(s.open)) { // in order: equal input must act alike
-		id := s.open[seq]
-		delete(s.open, seq)
-		s.desk.Left(id)
-	}
+	s.closed = true
+	s.abandon()
 	s.desk.Closed(s)
 }
 
-// Last closes the connection as soon as nothing is open on it.
+// Last closes the connection as soon as nothing is open on it. What a client asks until then is shed: it would keep the
+// connection open for as long as it likes.
 func (s *Session) Last() {
 	s.last = true
 	s.rest()
 }
 
+// TurnAway sheds the first that comes, and closes the connection. Closed at once, it would be reset under a call that
+// is on its way.
+func (s *Session) TurnAway() { s.last, s.turned = true, true }
+
 // Ticks come ten a second.
 const (
 	wholeBy = 20 // a client sends a message in one go; one that sends half of it, or none at all, is owed a close in 3 s
+	askBy   = 3  // a new connection is opened for a call, which comes with it: the network's delay and some
 	idleFor = 50 // clients close idle connections after 4 s; what stays longer was forgotten
 )
 
@@ -131,6 +150,10 @@
 	if s.begun >= wholeBy || !s.asked && s.quiet >= wholeBy || len(s.open) == 0 && s.quiet >= idleFor {
 		s.Last()
 	}
+	if s.turned && s.quiet >= askBy {
+		s.turned = false
+		s.rest()
+	}
 }
 
 // Spare tells whether the connection can be closed to make room for another, and how well: those that never asked
@@ -139,12 +162,12 @@
 	if rank = s.quiet; !s.asked {
 		rank += 1 << 20
 	}
-	return rank, len(s.open) == 0 && !s.last && !s.broken
+	return rank, len(s.open) == 0 && !s.last && !s.closed
 }
 
 func (s *Session) rest() {
-	if (s.half || s.last) && len(s.open) == 0 {
-		s.Line.Finish()
+	if (s.half || s.last && !s.turned) && len(s.open) == 0 {
+		s.finish()
 	}
 }
 
@@ -165,12 +188,19 @@
 	if r.Bad || kind != thrift.Call && kind != thrift.Oneway {
 		return errHead
 	}
-	s.asked, s.quiet, s.begun = true, 0, 0
+	if s.closed { // by the message before it
+		return nil
+	}
+	s.asked, s.turned, s.quiet, s.begun = true, false, 0, 0
 	switch string(name) {
 	case "call":
 		if _, twice := s.open[seq]; twice {
 			return errTwice
 		}
+		if s.last {
+			s.Shed(seq, 0, nil)
+			return nil
+		}
 		if len(s.open) >= mostOpen {
 			s.except(string(name), seq, thrift.ProtocolError, "too many open calls")
 			return nil
@@ -196,6 +226,7 @@
 			s.except(string(name), seq, thrift.UnknownMethod, "unknown method")
 		}
 	}
+	s.rest()
 	return nil
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -44,15 +44,11 @@
 		d := &desk{say: say, ready: true}
 		var scratch []byte
 		d.s = NewSession(d, &scratch)
-		d.s.Line = bad{d}
+		d.s.Line = d
 		return func(w []string) { d.step(t, w, pieces) }
 	}
 }
 
-type bad struct{ *desk }
-
-func (b bad) Bad() { b.say("drops, unreadable") }
-
 func (d *desk) step(t *testing.T, w []string, pieces bool) {
 	seq := int32(0)
 	if len(w) > 1 {
@@ -92,7 +88,7 @@
 		frame = b
 	case "again": // on another connection
 		d.s = NewSession(d, d.s.scratch)
-		d.s.Line = bad{d}
+		d.s.Line = d
 	case "ready":
 		d.ready = w[1] == "yes"
 	case "answered":
@@ -110,8 +106,12 @@
 	case "spare":
 		rank, ok := d.s.Spare()
 		d.say("can be spared: %v, %d", ok, rank)
+	case "last":
+		d.s.Last()
+	case "turn-away":
+		d.s.TurnAway()
 	case "ends":
-		d.s.Ended(map[string]sockets.Ending{"finished": sockets.Finished, "reset": sockets.Reset}[w[1]])
+		d.s.Ended(map[string]sockets.Ending{"finished": sockets.Finished, "reset": sockets.Reset, "closed": sockets.Closed}[w[1]])
 	default:
 		t.Fatalf("%q", w)
 	}
@@ -134,7 +134,7 @@
 		d := &desk{say: func(string, ...any) {}}
 		var scratch []byte
 		d.s = NewSession(d, &scratch)
-		d.s.Line = bad{d}
+		d.s.Line = d
 		d.s.Feed(b)
 	})
 }
--- /dev/null
+++ b/internal/router/close_test.go
@@ -0,0 +1,186 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"dunereach/brain"
+	"dunereach/internal/config"
+	"dunereach/internal/engines"
+	"dunereach/internal/front"
+	"dunereach/internal/settings"
+	"dunereach/internal/sockets"
+	"dunereach/internal/standin"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// hall is a service on real sockets whose owner is the test: nothing happens between two lines but what the test has happen.
+type hall struct {
+	*service
+	t        *testing.T
+	listener *net.TCPListener
+	engine   wire
+}
+
+func newHall(t *testing.T, descriptors int) *hall {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	set := settings.Settings{Profiles: []string{"lookup"}, Open: 99, Longest: 30, Brain: brain.Settings{Routers: 1, Tick: 0.005,
+		KindCores: []float64{8}, Profiles: []brain.Profile{{Target: 20, Benefit: 1, Threads: 1}}}}
+	inbox := make(sockets.Inbox, 256)
+	h := &hall{t: t, service: &service{Router: New(set, 1<<20, zap.NewNop(), func(uint32) string { return "" }),
+		cfg:   config.Config{Settings: set, Limits: config.Limits{Sockets: descriptors}},
+		clock: newClock(), log: zap.NewNop(), inbox: inbox, arrivals: make(chan net.Conn), accepted: make(chan struct{}),
+		sessions: map[*front.Session]struct{}{}, ctx: ctx, group: group, net: sockets.NewNet(ctx, group, inbox, 1<<20, 8)}}
+	pool := engines.New(h.Router, engines.Limits{Streams: 100, Conns: 10, Idle: 30},
+		func(netip.AddrPort, sockets.Sink) engines.Line { return &h.engine })
+	h.Start(h.clock.now(), pool)
+	list := []brain.Entry{{Engine: 1, State: brain.Ready}}
+	h.Members(h.clock.now(), brain.Cached, list, func() { pool.Members(list, func(uint32) netip.AddrPort { return netip.AddrPort{} }) })
+	var err error
+	if h.listener, err = net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cancel(); h.listener.Close(); group.Wait() })
+	return h
+}
+
+func (h *hall) client() *standin.Client { return standin.NewClient(h.t, h.listener.Addr().String()) }
+
+func (h *hall) call(c *standin.Client, ref string) int32 {
+	return c.Call("SELECT 1", "service", "lookup", "project", "acme", "allow", "20000", "ref", ref+strings.Repeat("0", 15))
+}
+
+// deliver makes what comes off connections known, so many times.
+func (h *hall) deliver(n int) {
+	h.t.Helper()
+	for range n {
+		select {
+		case e := <-h.inbox:
+			h.Deliver(h.clock.now(), e)
+		case <-time.After(standin.Patience):
+			h.t.Fatal("nothing came")
+		}
+	}
+}
+
+func (h *hall) expect(c *standin.Client, want string) {
+	h.t.Helper()
+	if got := c.Next(); got != want {
+		h.t.Errorf("the client got %q, want %q", got, want)
+	}
+}
+
+// waiting waits until so much is ready for the owner.
+func (h *hall) waiting(entries int) {
+	h.t.Helper()
+	for end := time.Now().Add(standin.Patience); len(h.inbox) < entries; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatal("nothing came")
+		}
+	}
+}
+
+const harmless = "2/1 call{ 1={ 1=[ ] } }"
+
+// TestCrosses: a call that its reader has read when the close is decided is not taken: its answer would never leave. The
+// client sees a clean end.
+func TestCrosses(t *testing.T) {
+	h := newHall(t, 100)
+	go h.accept(h.listener)
+	c := h.client()
+	h.arrive(<-h.arrivals, false)
+	h.call(c, "a")
+	h.waiting(1)
+	for s := range h.sessions {
+		s.Last()
+	}
+	h.deliver(1)
+	if h.Owed() != 0 || len(h.engine.last) > 0 {
+		t.Error("it was taken")
+	}
+	h.expect(c, "closed")
+}
+
+// TestInTime: what has come and is ready in the instant in which the grace ends is taken, on an open connection as on a
+// new one; what comes after it is shed while the connection is still owed something.
+func TestInTime(t *testing.T) {
+	h := newHall(t, 100)
+	go h.accept(h.listener)
+	open := h.client()
+	h.arrive(<-h.arrivals, false)
+	h.call(open, "a")
+	h.waiting(1)
+	fresh := h.client()
+	for end := time.Now().Add(standin.Patience); h.Owed() < 1 || len(h.sessions) < 2; { // the accepting goroutine holds it out
+		h.closeFront(h.listener)
+		if time.Now().After(end) {
+			t.Fatal("what was ready was not taken")
+		}
+	}
+	if h.Owed() != 1 || len(h.sessions) != 2 {
+		t.Errorf("%d commands are in hand, of %d clients", h.Owed(), len(h.sessions))
+	}
+	h.call(open, "b")
+	h.deliver(1)
+	h.expect(open, "2/2 call{ 1={ 1=[ ] } }")
+	h.expect(fresh, "closed")
+}
+
+// TestAcceptQueue: connections that the kernel has accepted when the router ends are turned away with an answer, and none
+// is reset with the listener.
+func TestAcceptQueue(t *testing.T) {
+	h := newHall(t, 100)
+	var late []*standin.Client
+	for k := range 5 {
+		late = append(late, h.client())
+		h.call(late[k], string(rune('a'+k)))
+	}
+	h.closeFront(h.listener)
+	go h.accept(h.listener)
+	for open := true; open; {
+		select {
+		case nc := <-h.arrivals:
+			h.arrive(nc, true)
+		case <-h.accepted:
+			open = false
+		}
+	}
+	h.deliver(5)
+	for _, c := range late {
+		h.expect(c, harmless)
+		h.expect(c, "closed")
+	}
+	if h.Owed() != 0 {
+		t.Error("one was taken")
+	}
+}
+
+// TestTurnedAway: a client for whom there is no room has its call shed and a clean end; where not even that can be held,
+// its connection is closed.
+func TestTurnedAway(t *testing.T) {
+	h := newHall(t, 16) // 8 for clients, and one beyond to turn away by
+	go h.accept(h.listener)
+	for k := range 8 {
+		h.call(h.client(), string(rune('1'+k)))
+		h.arrive(<-h.arrivals, false)
+		h.deliver(1)
+	}
+	c, none := h.client(), h.client()
+	h.arrive(<-h.arrivals, false)
+	h.arrive(<-h.arrivals, false)
+	h.expect(none, "closed")
+	h.call(c, "a")
+	h.deliver(1)
+	h.expect(c, harmless)
+	h.expect(c, "closed")
+	if h.Owed() != 8 {
+		t.Errorf("%d commands are in hand", h.Owed())
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"reflect"
 	"time"
 
@@ -56,6 +57,7 @@
 	net      *sockets.Net
 	inbox    sockets.Inbox
 	arrivals chan net.Conn
+	accepted chan struct{} // closed: no more arrive
 	answers  chan datagram
 	ask      *net.UDPConn // to the name server of now
 	group    *errgroup.Group
@@ -81,12 +83,12 @@
 // renewed configuration can change while it runs is taken over.
 func Serve(ctx context.Context, stop <-chan struct{}, renewed <-chan config.Config, cfg config.Config, fleet Fleet, state State, log *zap.Logger) error {
 	s := &service{fleet: fleet, state: state, cfg: cfg, clock: newClock(), log: log, list: members.New(cfg.Settings.Zones, cfg.Settings.Kinds),
-		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), answers: make(chan datagram),
+		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), accepted: make(chan struct{}), answers: make(chan datagram),
 		sessions: map[*front.Session]struct{}{}}
 	if _, err := s.list.Start(cfg.Known); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", cfg.Listen.String())
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Listen))
 	if err != nil {
 		return fmt.Errorf("listen: %v", err)
 	}
@@ -104,7 +106,7 @@
 	}
 	// A quarter of the memory for answers on their way out, and one for statements in hand; half of that for messages
 	// that are not whole yet.
-	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4)
+	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4, int64(max(s.descriptors()/16, 1)))
 	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
 	if len(cfg.Budgets.Nodes) > 0 {
 		teams, err := budgets.New(cfg.Budgets, s.clock.now())
@@ -136,8 +138,9 @@
 	return group.Wait()
 }
 
-// accept hands on connections of clients, and survives a lack of descriptors.
+// accept hands on connections of clients until the listener's deadline, and survives a lack of descriptors.
 func (s *service) accept(l net.Listener) error {
+	defer close(s.accepted)
 	for {
 		nc, err := l.Accept()
 		switch {
@@ -148,7 +151,8 @@
 				nc.Close()
 				return nil
 			}
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded):
+			l.Close()
 			return nil
 		default:
 			s.log.Warn("accept", zap.Error(err))
@@ -255,14 +259,18 @@
 	s.ask.Write(s.list.Question(nil))
 }
 
-// own is the owner's goroutine.
-func (s *service) own(stop <-chan struct{}, renewed <-chan config.Config, listener net.Listener) error {
-	// A third of the descriptors is the engines'. Usual clients keep to a third and clients get up to a half, past
-	// which those go that hold no command; the rest is room for those that are on their way out.
-	descriptors := s.cfg.Limits.Sockets
-	if descriptors == 0 {
-		descriptors = 16384
+// descriptors that the router may hold. A third is the engines'. Usual clients keep to a third and clients get up to a
+// half, past which those go that hold no command; the rest is room for those that are on their way out.
+func (s *service) descriptors() int {
+	if n := s.cfg.Limits.Sockets; n > 0 {
+		return n
 	}
+	return 16384
+}
+
+// own is the owner's goroutine.
+func (s *service) own(stop <-chan struct{}, renewed <-chan config.Config, listener *net.TCPListener) error {
+	descriptors := s.descriptors()
 	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(descriptors/3, 1),
 		Idle: s.cfg.Settings.ConnIdle,
 		// An engine sends an answer in one go: a pause longer than a connection takes to come up is its end.
@@ -286,7 +294,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var ended <-chan time.Time
-	closing := false
+	closing, accepted := false, s.accepted
 	var news <-chan func()
 	if s.fleet != nil {
 		news = s.fleet.News()
@@ -299,7 +307,9 @@
 		case e := <-s.inbox:
 			s.Deliver(s.clock.now(), e)
 		case nc := <-s.arrivals:
-			s.arrive(nc, max(descriptors/2, 1), closing)
+			s.arrive(nc, closing)
+		case <-accepted:
+			accepted = nil
 		case <-asking.C:
 			s.at(s.clock.now())
 			if s.fleet != nil {
@@ -335,24 +345,50 @@
 			ended = time.After(700 * time.Millisecond)
 		case <-ended:
 			ended, closing = nil, true
-			listener.Close()
-			for c := range s.sessions {
-				c.Last()
-			}
+			s.closeFront(listener)
 		case <-s.ctx.Done():
 			return nil
 		}
 		next := s.Tick(s.clock.now())
 		timer.Reset(time.Duration(max(next-s.clock.now(), 0) * 1e9))
-		if closing && len(s.sessions) == 0 {
+		if closing && accepted == nil && len(s.sessions) == 0 {
 			return nil
 		}
 	}
 }
 
-func (s *service) arrive(nc net.Conn, most int, closing bool) {
-	if len(s.sessions) >= most && (!s.letGo() || len(s.sessions) >= most+most/8) {
+// closeFront takes no more commands, but for those that came in time and are ready in the same instant.
+func (s *service) closeFront(listener *net.TCPListener) {
+	s.readOut()
+	// What the kernel has accepted by now is taken and turned away: closed with the listener, it would be reset.
+	const queued = 20 * time.Millisecond
+	listener.SetDeadline(time.Now().Add(queued))
+	for c := range s.sessions {
+		c.Last()
+	}
+}
+
+// readOut takes what has come in so far, and no more than readers can have under way.
+func (s *service) readOut() {
+	for range cap(s.inbox) {
+		select {
+		case e := <-s.inbox:
+			s.Deliver(s.clock.now(), e)
+		case nc := <-s.arrivals:
+			s.arrive(nc, false)
+		default:
+			return
+		}
+	}
+}
+
+func (s *service) arrive(nc net.Conn, closing bool) {
+	most := max(s.descriptors()/2, 1)
+	full := len(s.sessions) >= most && !s.letGo()
+	if full {
 		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
+	}
+	if len(s.sessions) >= most+most/8 { // none is left even to turn it away by
 		nc.Close()
 		return
 	}
@@ -363,8 +399,8 @@
 	c.Line = line
 	s.sessions[c] = struct{}{}
 	line.Start(nc)
-	if closing { // it came with the last
-		c.Last()
+	if full || closing {
+		c.TurnAway()
 	}
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -70,18 +70,21 @@
 	}
 }
 
-// Net is what connections share: who owns them, and the memory for what waits to go out.
+// Net is what connections share: who owns them, the memory for what waits to go out, and how many may linger.
 type Net struct {
-	ctx   context.Context // over: nobody takes entries any more
-	group *errgroup.Group
-	inbox Inbox
-	room  int64
-	used  atomic.Int64
+	ctx    context.Context // over: nobody takes entries any more
+	group  *errgroup.Group
+	inbox  Inbox
+	room   int64
+	used   atomic.Int64
+	most   int64 // connections in a lingering close
+	linger atomic.Int64
 }
 
-// NewNet runs connections in a group until the context ends; room is the bytes that may wait in all of them.
-func NewNet(ctx context.Context, group *errgroup.Group, inbox Inbox, room int64) *Net {
-	return &Net{ctx: ctx, group: group, inbox: inbox, room: room}
+// NewNet runs connections in a group until the context ends; room is the bytes that may wait in all of them, lingering
+// how many may be in a lingering close.
+func NewNet(ctx context.Context, group *errgroup.Group, inbox Inbox, room, lingering int64) *Net {
+	return &Net{ctx: ctx, group: group, inbox: inbox, room: room, most: lingering}
 }
 
 func (n *Net) post(e Entry) {
@@ -99,6 +102,8 @@
 	kick  chan struct{}
 	ctx   context.Context
 	quit  context.CancelCauseFunc
+	mild  bool        // ends in a lingering close
+	shut  atomic.Bool // this side has said its last: what still comes is nobody's
 
 	mu     sync.Mutex
 	out    []byte
@@ -116,8 +121,9 @@
 	return c
 }
 
-// Start runs a connection that is up, until it or the context ends.
+// Start runs a connection that is up, until it or the context ends. Finish ends it in a lingering close.
 func (c *Conn) Start(nc net.Conn) {
+	c.mild = true
 	c.net.group.Go(func() error { c.run(nc, 4<<10); return nil })
 }
 
@@ -147,13 +153,17 @@
 	written := make(chan struct{})
 	go func() { c.write(nc); close(written) }() // ended below
 	how := c.read(nc, size)
-	if how == Finished {
+	if how == Finished && !c.shut.Load() {
 		c.net.post(Entry{sink: c.sink, what: isEnd, how: Finished})
 		<-written // by Finish, a write that fails, or the context
 		how = Closed
 	}
 	c.quit(errClosed)
 	<-written
+	if c.shut.Load() {
+		c.net.linger.Add(-1)
+		how = Closed
+	}
 	switch context.Cause(c.ctx) {
 	case errStuffed:
 		how = Stuffed
@@ -168,10 +178,15 @@
 }
 
 func (c *Conn) read(nc net.Conn, size int) Ending {
-	buf, taken := make([]byte, size), make(chan struct{}, 1)
+	const spilt = 64 << 10 // bytes read in a lingering close: many usual calls; a flood is cut off
+	buf, taken, left := make([]byte, size), make(chan struct{}, 1), spilt
 	for {
 		n, err := nc.Read(buf)
-		if n > 0 {
+		if n > 0 && c.shut.Load() {
+			if left -= n; left < 0 {
+				return Closed
+			}
+		} else if n > 0 {
 			c.net.post(Entry{sink: c.sink, what: isData, data: buf[:n], taken: taken})
 			select {
 			case <-taken:
@@ -183,7 +198,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			return Finished
-		case c.ctx.Err() != nil:
+		case c.ctx.Err() != nil || c.shut.Load():
 			return Closed
 		default:
 			return Reset
@@ -209,7 +224,7 @@
 			c.mu.Unlock()
 			if spare = out; len(out) == 0 {
 				if finish {
-					c.quit(errClosed)
+					c.leave(nc)
 					return
 				}
 				break
@@ -231,6 +246,26 @@
 	}
 }
 
+// leave ends a connection whose last has gone out. Closed over bytes that nobody read, it would be reset, and what is
+// on its way with it; so one that lingers says that it has ended and reads on for a while, for nobody. Harm: a
+// descriptor is held for longer, hence the bound on how many linger.
+func (c *Conn) leave(nc net.Conn) {
+	const patience = 500 * time.Millisecond // ten times what the protocol allows a request that crosses a close
+	tcp, ok := nc.(*net.TCPConn)
+	if !c.mild || !ok {
+		c.quit(errClosed)
+		return
+	}
+	if c.net.linger.Add(1) > c.net.most {
+		c.net.linger.Add(-1)
+		c.quit(errClosed)
+		return
+	}
+	c.shut.Store(true)
+	tcp.SetReadDeadline(time.Now().Add(patience))
+	tcp.CloseWrite()
+}
+
 // Append puts bytes behind those that are to go out, and gives back where they begin, for Begun. A connection
 // that takes nothing is ended when its bound is passed, or the bound of all together.
 func (c *Conn) Append(b []byte) (from int64) {
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -24,7 +24,7 @@
 func owner(t *testing.T, room int64) *Net {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
-	n := NewNet(ctx, &group, make(Inbox, 4), room)
+	n := NewNet(ctx, &group, make(Inbox, 4), room, 4)
 	group.Go(func() error {
 		for {
 			select {
@@ -139,3 +139,70 @@
 	c.Dial(l.Addr().String(), 10*time.Second)
 	s.want(t, "never came up")
 }
+
+// accepted gives both ends of a connection that came in, with its reader's entries held back: deliver makes the next.
+func accepted(t *testing.T, lingering int64) (n *Net, c *Conn, s sink, there *net.TCPConn, deliver func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	n = NewNet(ctx, &group, make(Inbox), 1<<30, lingering)
+	t.Cleanup(func() { cancel(); group.Wait() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	out, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { out.Close() })
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = make(sink, 100)
+	c = n.New(s, 1<<30)
+	c.Start(in)
+	return n, c, s, out.(*net.TCPConn), func() { (<-n.inbox).Deliver() }
+}
+
+// TestLingering: a connection that is finished over bytes which nobody has read is not reset: the other side has all that
+// was written and a clean end. What still comes is nobody's; what comes without end, or no end, closes it all the same.
+func TestLingering(t *testing.T) {
+	for name, then := range map[string]func(there *net.TCPConn){
+		"closes":       func(there *net.TCPConn) { there.Close() },
+		"stays":        func(*net.TCPConn) {},
+		"sends on":     func(there *net.TCPConn) { there.Write(make([]byte, 1<<20)) },
+		"asks and off": func(there *net.TCPConn) { there.Write([]byte("late")); there.CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, c, s, there, deliver := accepted(t, 4)
+			there.Write([]byte("one"))
+			deliver()
+			s.want(t, "fed one")
+			there.Write([]byte("two")) // its entry is under way
+			there.Write(make([]byte, 8<<10))
+			e := <-n.inbox // and behind it lie unread bytes, while the close is decided
+			c.Append([]byte("answer"))
+			c.Finish()
+			got, err := io.ReadAll(there)
+			if string(got) != "answer" || err != nil {
+				t.Errorf("the other side has %q, %v", got, err)
+			}
+			e.Deliver()
+			<-s // "two"
+			then(there)
+			deliver()
+			s.want(t, "closed")
+			if n.linger.Load() != 0 {
+				t.Error("it is still counted")
+			}
+		})
+	}
+	t.Run("bound", func(t *testing.T) {
+		_, c, s, _, deliver := accepted(t, 0)
+		c.Finish() // no other side's end is waited for
+		deliver()
+		s.want(t, "closed")
+	})
+}
