A client that left has nothing sent on; sends are withdrawn in one step, and leave in time

Seen, each by a test that forces the order (red before, quoted from TestLeft, TestRepeatTooLate): - 'an engine was sent ["fetch" "a00..." "kind=lookup,ms=20000"]' for a client that had closed, from the line as from a send that waited for its connection: front.Session.Ended only noted `half`, and Brain.cancel did nothing where the settings bar cancelling; - engines.Pool.GiveUp and Unstick asked Begun and then called Drop: the writer could begin between, so bytes left after their send was told as over, and Drop cost all else out there; - conn.Up wrote what waited whatever the time was: a uniqued repeat left after the window in which engines drop it, and a send after its limit; - a send that timed out before anything of it left was told as one that may have run; - bytes in a write that has begun and does not end counted as gone (stuck asked Begun only). Ruled out: Left and the list's changes already ended what waits for a connection.

Change: Brain.HalfClosed ends at once what nothing is out for, withdraws what has not left, and bars further sends; Host.Withdraw and Conn.Withdraw (ask and take back under one lock, what lies round it leaves); Host.Send has a time to leave by for a uniqued repeat; Outcome has Unsent. A drain takes back at once what has not begun to leave, and drops a connection only where a begun write does not end.

Harm: a client that closes its side and still reads is shed where it was held or waited.

--- a/brain/api.go
+++ b/brain/api.go
@@ -13,10 +13,11 @@
 
 // Host is what the module asks of its surroundings. Calls are carried out in the order made.
 type Host interface {
-	Send(id, engine uint32, limit float64)          // a send that ends by itself after limit
+	Send(id, engine uint32, limit, by float64)      // a send that ends by itself after limit, and leaves before by, 0: any time
 	Shed(id uint32, pause float64)                  // final: a retry is harmless, best after pause (0: any time)
 	Fail(id uint32)                                 // final: nothing is promised
 	Cancel(id uint32, send int)                     // stop waiting for that send
+	Withdraw(id uint32, send int)                   // end that send as Moot if nothing of it has left yet
 	Probe(engine uint32)                            // ask an engine how it is; Probed answers
 	Priority(id uint32, level int, grant float64)   // 0 to 3, at once; memory of later sends, 0: engine's choice
 	Wake(after float64, token uint64)               // Woken with that token, not before
@@ -198,6 +199,7 @@
 	ID, Engine uint32
 	Send       int
 	End        End
+	Unsent     bool    // nothing of it had left when it ended
 	Lag        float64 // since the send
 	Over       bool    // the command has had its final answer
 	Work       float64 // true work, 0: not told
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -189,9 +189,13 @@
 }
 
 func (b *Brain) cancel(r *record) {
-	if r.out.engine >= 0 && b.set.Cancels && !r.out.asked && !r.streaming {
+	switch {
+	case r.out.engine < 0 || r.out.asked || r.streaming:
+	case b.set.Cancels:
 		r.out.asked = true
 		b.host.Cancel(r.ID, r.out.number)
+	default: // what still waits for its connection has run nowhere
+		b.host.Withdraw(r.ID, r.out.number)
 	}
 }
 
@@ -214,6 +218,21 @@
 	}
 }
 
+// HalfClosed tells that the client has closed its side: it has left, or still reads. A final answer serves both: at once where
+// nothing is out, else by the send that is, and no further one. Harm: a client that still reads is shed where it was held.
+func (b *Brain) HalfClosed(now float64, id uint32) {
+	b.now = now
+	if i, ok := b.cmds.at[id]; ok && !b.cmds.rec[i].done {
+		r := &b.cmds.rec[i]
+		if r.halfClosed = true; r.out.engine < 0 {
+			b.finish(i)
+			b.flush()
+		} else {
+			b.host.Withdraw(id, r.out.number)
+		}
+	}
+}
+
 // Started tells that a stream has begun: it is the client's now, and no timeout applies.
 func (b *Brain) Started(now float64, id uint32, _ int) {
 	b.now = now
@@ -316,7 +335,7 @@
 func (b *Brain) again(i int32, o *Outcome) bool {
 	r := &b.cmds.rec[i]
 	const errors = 2 // as many engines don't err by chance: more sends would only spread what none can use
-	if r.done || r.out.engine >= 0 || b.now+r.best > r.dueBy || r.errors >= errors ||
+	if r.done || r.halfClosed || r.out.engine >= 0 || b.now+r.best > r.dueBy || r.errors >= errors ||
 		b.set.MaxSends > 0 && r.sends >= b.set.MaxSends || !b.mayRepeat(r, &b.prof[r.Profile]) {
 		return pass
 	}
@@ -570,7 +589,11 @@
 	if e.ill && !b.set.Cancels && p.Effect == Replayable {
 		limit = min(limit, 0.6*(r.aim-r.took))
 	}
-	b.host.Send(r.ID, e.Engine, limit)
+	by := 0.0
+	if r.mayRun && p.Effect == Uniqued { // a repeat that arrives after the window runs again
+		by = r.ranAt + p.Window
+	}
+	b.host.Send(r.ID, e.Engine, limit, by)
 }
 
 // judge settles the engine's account and takes the outcome as evidence of its health.
@@ -596,13 +619,13 @@
 	b.settled(i, o)
 	if o.End != Answered {
 		r.avoid = s.engine
-		if !o.End.NeverRan() && !r.mayRun {
+		if !o.End.NeverRan() && !o.Unsent && !r.mayRun {
 			r.mayRun, r.ranAt, r.ranZone, r.ranCell = true, s.at, e.Zone, e.Cell
 		}
 	}
 	// A time-out counts where answers come but slowly, or only the lucky would; else (a lost answer, a hang)
 	// refusing mends nothing. Ill and cold engines are left out.
-	late := o.End == TimedOut && p.slow*b.slowOf(e) > wellAbove && b.now-e.heardAt <= lately
+	late := o.End == TimedOut && !o.Unsent && p.slow*b.slowOf(e) > wellAbove && b.now-e.heardAt <= lately
 	if (o.End == Answered || late) && !e.ill && !b.isCold(e) {
 		p.fill.add(o.Lag)
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -28,7 +28,8 @@
 
 type deafHost struct{ engine uint32 }
 
-func (h *deafHost) Send(_, engine uint32, _ float64)        { h.engine = engine }
+func (h *deafHost) Send(_, engine uint32, _, _ float64)     { h.engine = engine }
+func (h *deafHost) Withdraw(uint32, int)                    {}
 func (h *deafHost) Shed(uint32, float64)                    {}
 func (h *deafHost) Fail(uint32)                             {}
 func (h *deafHost) Cancel(uint32, int)                      {}
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -26,6 +26,9 @@
 	sends map[uint32]int
 	sent  map[uint32]float64
 	load  Load
+
+	unsent    bool // of the send that ends nothing had left
+	withdrawn bool // withdrawals are printed
 }
 
 type wake struct {
@@ -39,15 +42,22 @@
 	}
 }
 
-func (s *theatre) Send(id, engine uint32, limit float64) {
+func (s *theatre) Send(id, engine uint32, limit, by float64) {
 	s.last[id] = Outcome{ID: id, Engine: engine, Send: s.sends[id]}
 	s.sends[id]++
 	s.sent[id] = s.now
-	s.say("send %d to %d for %.3f", id, engine, limit)
+	if s.say("send %d to %d for %.3f", id, engine, limit); by > 0 {
+		s.say("which leaves before %.3f", by)
+	}
+}
+func (s *theatre) Shed(id uint32, pause float64) { s.say("shed %d, back in %.2f", id, pause) }
+func (s *theatre) Fail(id uint32)                { s.say("fail %d", id) }
+func (s *theatre) Cancel(id uint32, send int)    { s.say("cancel %d/%d", id, send) }
+func (s *theatre) Withdraw(id uint32, send int) {
+	if s.withdrawn {
+		s.say("withdraw %d/%d", id, send)
+	}
 }
-func (s *theatre) Shed(id uint32, pause float64)        { s.say("shed %d, back in %.2f", id, pause) }
-func (s *theatre) Fail(id uint32)                       { s.say("fail %d", id) }
-func (s *theatre) Cancel(id uint32, send int)           { s.say("cancel %d/%d", id, send) }
 func (s *theatre) Probe(engine uint32)                  { s.say("probe %d", engine) }
 func (s *theatre) Priority(id uint32, l int, _ float64) { s.say("priority %d of %d", l, id) }
 func (s *theatre) Wake(after float64, token uint64) {
@@ -107,6 +117,8 @@
 			tree, err := budgets.New(spec, 0)
 			s.must(err, line)
 			set.Teams, set.Ageing = tree, spec.Ageing
+		} else if line == "withdrawals" {
+			s.withdrawn = true
 		} else if line == "waits" {
 			set.Waits = waits.New(len(set.Profiles), set.MaxPause)
 		} else if line != "" && !strings.HasPrefix(line, "#") {
@@ -175,6 +187,12 @@
 		s.quiet = false
 	case "left":
 		s.b.Left(s.now, uint32(num(0)))
+	case "half-closed":
+		s.b.HalfClosed(s.now, uint32(num(0)))
+	case "unsent": // a send timed out before any of it left
+		s.unsent = true
+		s.end(uint32(num(0)), TimedOut, math.Round((s.now-s.sent[uint32(num(0))])*1e6)/1e6, 0)
+		s.unsent = false
 	case "note": // id share-done
 		o := s.last[uint32(num(0))]
 		s.b.Note(s.now, Note{ID: o.ID, Engine: o.Engine, Send: o.Send, Kind: Progressed, Value: num(1)})
@@ -203,5 +221,6 @@
 		s.t.Fatalf("command %d was not sent", id)
 	}
 	o.End, o.Lag, o.Work, o.Over = end, lag, work, end == Answered
+	o.Unsent = s.unsent
 	s.b.Outcome(s.now, o)
 }
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -41,6 +41,7 @@
 	booked      bool // it comes at a time that a client of its team was told
 	done        bool
 	streaming   bool
+	halfClosed  bool  // its client has said its last, and may have left
 	next        int32 // next of the same order key, -1: none
 }
 
--- a/emulator/town/host.go
+++ b/emulator/town/host.go
@@ -8,7 +8,7 @@
 	"dunereach/waits"
 )
 
-func (r *router) Send(id, to uint32, after float64) {
+func (r *router) Send(id, to uint32, after, _ float64) {
 	t, f := r.t, r.flights[id]
 	k := t.engineOf(to)
 	f.number++
@@ -99,7 +99,8 @@
 	r.t.push(event{at: r.t.now + trip, what: outcome, router: r.me, life: r.life, token: uint64(id), number: send, end: brain.Cancelled})
 }
 
-func (r *router) Probe(uint32)     {}
-func (r *router) Tell(int, []byte) {}
-func (r *router) Watch(bool)       {}
-func (r *router) Log(string)       {}
+func (r *router) Withdraw(uint32, int) {} // what is sent has left
+func (r *router) Probe(uint32)         {}
+func (r *router) Tell(int, []byte)     {}
+func (r *router) Watch(bool)           {}
+func (r *router) Log(string)           {}
--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -264,7 +264,7 @@
 
 // The calls out, each one record of the reply.
 
-func (r *router) Send(id, engine uint32, limit float64) {
+func (r *router) Send(id, engine uint32, limit, _ float64) { // what is sent has left
 	f := r.out.record(30)
 	be.PutUint32(f, id)
 	be.PutUint64(f[4:], millis(limit))
@@ -285,6 +285,8 @@
 	be.PutUint16(f[4:], uint16(send))
 }
 
+func (r *router) Withdraw(uint32, int) {}
+
 func (r *router) Probe(engine uint32) { be.PutUint32(r.out.record(70), engine) }
 
 func (r *router) Priority(id uint32, level int, grant float64) {
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -86,7 +86,7 @@
 	o.reset()
 	o.router = 3
 	r := &router{id: 3, out: &o}
-	r.Send(0x5d3a91c4, 0x03124a07, 0.08)
+	r.Send(0x5d3a91c4, 0x03124a07, 0.08, 0)
 	r.Wake(0.5, 0x4d)
 	r.Shed(0x0e6f2b19, 0.25)
 	r.Fail(0x0e6f2b19)
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -31,10 +31,12 @@
 	Statement []byte
 	Level     int
 	At, Until float64
-	Unwanted  bool // nobody waits for the result any more
+	LeaveBy   float64 // none of its bytes may leave from then on, 0: any time
+	Unwanted  bool    // nobody waits for the result any more
 
 	Pages        [][]byte // good until Ended returns
 	Work, Memory float64
+	Unsent       bool // nothing of it had left
 
 	out   bool
 	over  bool // it has ended, and its owner is yet to be told so
@@ -42,6 +44,7 @@
 	conn  *conn
 	sent  bool
 	from  int64 // where its bytes begin on the connection
+	size  int   // how many they are
 	got   int
 	gotAt float64 // when the latest page came
 }
@@ -60,6 +63,8 @@
 type Line interface {
 	Append(b []byte) int64
 	Begun(from int64) bool
+	Written(to int64) bool
+	Withdraw(from int64, size int) bool
 	Finish()
 	Drop()
 	Bad()
@@ -155,7 +160,7 @@
 			c.line.Drop()
 		}
 		for _, j := range c.jobs() {
-			if !j.sent {
+			if c.withdraw(j) {
 				p.endLater(j, brain.Unreachable)
 			}
 		}
@@ -167,21 +172,32 @@
 	}
 }
 
-// stuck tells whether bytes of a send wait to leave.
+// withdraw takes a send back of which nothing has left, in one step with the question whether it has.
+func (c *conn) withdraw(j *Job) bool { return !j.sent || c.line.Withdraw(j.from, j.size) }
+
+// stuck tells whether bytes of a send are in a write that has begun and does not end.
 func (c *conn) stuck() bool {
 	for _, j := range c.out {
-		if j.sent && !c.line.Begun(j.from) {
+		if j.sent && !c.line.Written(j.from+int64(j.size)) {
 			return true
 		}
 	}
 	return false
 }
 
+// UnstickEvery is how often Unstick is to be called, in seconds.
+const UnstickEvery = 0.1
+
 // Unstick drops connections to engines that drain or are gone, in which bytes of sends are stuck: they would leave
-// some time, past the grace. And those on which an answer has stopped short, or a page does not come. It is to be
-// called some times a second.
+// some time, past the grace. And those on which an answer has stopped short, or a page does not come. A send whose bytes
+// may not leave any more when it is called next is withdrawn.
 func (p *Pool) Unstick() {
 	for _, c := range p.conns {
+		for _, j := range c.jobs() {
+			if j.LeaveBy > 0 && p.now+UnstickEvery >= j.LeaveBy && c.withdraw(j) {
+				p.endLater(j, brain.Moot)
+			}
+		}
 		if p.limits.Stall > 0 && !c.broken && c.stopped(p.now-p.limits.Stall) {
 			c.bad()
 		}
@@ -212,13 +228,14 @@
 // Send carries a command to an engine.
 func (p *Pool) Send(j *Job) {
 	j.out, j.over, j.sent, j.conn, j.got, j.Pages = true, false, false, nil, 0, j.Pages[:0]
-	j.Work, j.Memory = 0, 0
+	j.Work, j.Memory, j.Unsent = 0, 0, false
 	e := p.engines[j.Engine]
 	if e == nil || e.state != brain.Ready {
 		p.endLater(j, brain.Moot)
 		return
 	}
 	if j.Until <= p.now {
+		j.Unsent = true
 		p.endLater(j, brain.TimedOut)
 		return
 	}
@@ -263,11 +280,21 @@
 	return c
 }
 
+// write hands a send's bytes over, unless its time to leave is past.
 func (c *conn) write(j *Job) {
+	switch {
+	case j.Until <= c.pool.now:
+		j.Unsent = true
+		c.pool.endLater(j, brain.TimedOut)
+		return
+	case j.LeaveBy > 0 && j.LeaveBy <= c.pool.now:
+		c.pool.endLater(j, brain.Moot)
+		return
+	}
 	j.sent = true
 	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
 	c.pool.scratch = lines.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Statement)
-	j.from = c.line.Append(c.pool.scratch)
+	j.from, j.size = c.line.Append(c.pool.scratch), len(c.pool.scratch)
 }
 
 // say writes what was put together in the pool's scratch.
@@ -276,20 +303,29 @@
 	c.line.Append(b)
 }
 
+// Withdraw ends a send of which nothing has left; any other goes on.
+func (p *Pool) Withdraw(j *Job) {
+	if c := j.conn; c != nil && c.withdraw(j) {
+		p.endLater(j, brain.Moot)
+	}
+}
+
 // GiveUp ends a send that is out. One that is on its way is taken back, so that it is over on the wire before
 // another leaves.
 func (p *Pool) GiveUp(j *Job, end brain.End) {
 	if c := j.conn; c != nil && j.sent {
-		if !c.line.Begun(j.from) { // it would leave after it was given up
-			c.line.Drop()
-		} else if j.got == 0 {
-			c.say(lines.Abort(p.scratch[:0], j.Ref[:]))
-		} else {
-			c.say(lines.Done(p.scratch[:0], j.Ref[:]))
+		if j.Unsent = c.withdraw(j); !j.Unsent {
+			if j.got == 0 {
+				c.say(lines.Abort(p.scratch[:0], j.Ref[:]))
+			} else {
+				c.say(lines.Done(p.scratch[:0], j.Ref[:]))
+			}
+			c.spend(j)
 		}
-		c.spend(j)
 		// One whose time ran out may be the connection's doing, not the engine's: nothing more is sent there.
 		c.retired = c.retired || end == brain.TimedOut
+	} else if c != nil {
+		j.Unsent = true
 	}
 	p.endLater(j, end)
 }
@@ -375,10 +411,11 @@
 
 func (c *conn) Up() {
 	c.up = true
-	for _, j := range c.waiting {
+	waiting := c.waiting
+	c.waiting = nil
+	for _, j := range waiting {
 		c.write(j)
 	}
-	c.waiting = nil
 	c.rest()
 }
 
@@ -402,8 +439,13 @@
 }
 
 func (c *conn) Ended(how sockets.Ending) {
-	if how == sockets.Finished { // an engine that closes its side answers no more
+	if how == sockets.Finished { // an engine that closes its side answers no more, and reads nothing that leaves now
 		c.retired = true
+		for _, j := range c.jobs() {
+			if c.withdraw(j) {
+				c.pool.endLater(j, brain.Moot)
+			}
+		}
 		c.line.Drop()
 		return
 	}
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -25,21 +25,29 @@
 	n             int
 	sink          sockets.Sink
 	queued, begun int64
+	written       int64
 	stalled, over bool
 }
 
 func (w *wire) Append(b []byte) int64 {
 	from := w.queued
 	if w.queued += int64(len(b)); !w.stalled {
-		w.begun = w.queued
+		w.begun, w.written = w.queued, w.queued
 	}
 	w.yard.say("line %d writes %q", w.n, b)
 	return from
 }
 func (w *wire) Begun(from int64) bool { return from < w.begun }
-func (w *wire) Finish()               { w.end("finishes") }
-func (w *wire) Drop()                 { w.end("is dropped") }
-func (w *wire) Bad()                  { w.end("is dropped, unreadable") }
+func (w *wire) Written(to int64) bool { return to <= w.written }
+func (w *wire) Withdraw(from int64, size int) bool {
+	if from >= w.begun {
+		w.yard.say("line %d has %d bytes taken back", w.n, size)
+	}
+	return from >= w.begun
+}
+func (w *wire) Finish() { w.end("finishes") }
+func (w *wire) Drop()   { w.end("is dropped") }
+func (w *wire) Bad()    { w.end("is dropped, unreadable") }
 func (w *wire) end(how string) {
 	if !w.over {
 		w.over = true
@@ -128,8 +136,15 @@
 	case "stalled":
 		l := y.lines[number(t, w[2])-1]
 		if l.stalled = len(w) < 4 || w[3] == "yes"; !l.stalled {
-			l.begun = l.queued
+			l.begun, l.written = l.queued, l.queued
 		}
+	case "begun": // a write of all that waits, which does not end
+		l := y.lines[number(t, w[2])-1]
+		l.begun = l.queued
+	case "withdraw":
+		y.pool.Withdraw(y.jobs[number(t, w[2])])
+	case "leave-by":
+		y.jobs[number(t, w[2])].LeaveBy, _ = strconv.ParseFloat(w[3], 64)
 	case "says": // line, words with ID of which "@7" is written out, and | for a line's end
 		text := strings.NewReplacer("@", "00000000000000", "|", "\r\n", "~", "\t", ";", "\n").Replace(strings.Join(w[3:], " "))
 		for size := len(text); len(text) > 0; text = text[size:] {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,7 @@
 type Desk interface {
 	Take(c Caller, seq int32, a *Ask)
 	Left(id uint32)
+	HalfClosed(id uint32) // its client has said its last, and may have left or still read
 	Ready() bool
 	Room(bytes int) bool // takes memory for what is not whole yet, or gives it back; false: there is no more
 	Bad(how string)
@@ -116,6 +117,11 @@
 func (s *Session) Ended(how sockets.Ending) {
 	if how == sockets.Finished {
 		s.half = true
+		for _, seq := range slices.Sorted(maps.Keys(s.open)) {
+			if id, open := s.open[seq]; open {
+				s.desk.HalfClosed(id)
+			}
+		}
 		s.rest()
 		return
 	}
--- a/internal/router/close_test.go
+++ b/internal/router/close_test.go
@@ -25,24 +25,29 @@
 	*service
 	t        *testing.T
 	listener *net.TCPListener
-	engine   wire
+	heard    chan standin.Said
+	places   []*standin.Engine
+	list     []brain.Entry
 }
 
-func newHall(t *testing.T, descriptors int) *hall {
+// newHall has so many engines, of which none is listed yet.
+func newHall(t *testing.T, descriptors, engineCount int) *hall {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
-	set := settings.Settings{Profiles: []string{"lookup"}, Open: 99, Longest: 30, Brain: brain.Settings{Routers: 1, Tick: 0.005,
-		KindCores: []float64{8}, Profiles: []brain.Profile{{Target: 20, Benefit: 1, Threads: 1}}}}
+	profile := brain.Profile{Target: 20, Benefit: 1, Threads: 1}
+	once := profile
+	once.Effect, once.Window = brain.Uniqued, window
+	set := settings.Settings{Profiles: []string{"lookup", "once"}, Open: 99, Longest: 30, ConnectTimeout: 10, Brain: brain.Settings{
+		Routers: 1, Tick: 0.005, KindCores: []float64{8}, Profiles: []brain.Profile{profile, once}}}
 	inbox := make(sockets.Inbox, 256)
-	h := &hall{t: t, service: &service{Router: New(set, 1<<20, zap.NewNop(), func(uint32) string { return "" }),
+	h := &hall{t: t, heard: make(chan standin.Said, 100), service: &service{Router: New(set, 1<<20, zap.NewNop(), func(uint32) string { return "" }),
 		cfg:   config.Config{Settings: set, Limits: config.Limits{Sockets: descriptors}},
 		clock: newClock(), log: zap.NewNop(), inbox: inbox, arrivals: make(chan net.Conn), accepted: make(chan struct{}),
 		sessions: map[*front.Session]struct{}{}, ctx: ctx, group: group, net: sockets.NewNet(ctx, group, inbox, 1<<20, 8)}}
-	pool := engines.New(h.Router, engines.Limits{Streams: 100, Conns: 10, Idle: 30},
-		func(netip.AddrPort, sockets.Sink) engines.Line { return &h.engine })
-	h.Start(h.clock.now(), pool)
-	list := []brain.Entry{{Engine: 1, State: brain.Ready}}
-	h.Members(h.clock.now(), brain.Cached, list, func() { pool.Members(list, func(uint32) netip.AddrPort { return netip.AddrPort{} }) })
+	h.Start(h.clock.now(), engines.New(h.Router, engines.Limits{Streams: 100, Conns: 10, Idle: 30}, h.dial))
+	for range engineCount {
+		h.places = append(h.places, standin.NewEngine(t, h.heard))
+	}
 	var err error
 	if h.listener, err = net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
 		t.Fatal(err)
@@ -51,10 +56,20 @@
 	return h
 }
 
+// ready lists an engine, by its place.
+func (h *hall) ready(k int) {
+	h.list = append(h.list, brain.Entry{Engine: uint32(k + 1), State: brain.Ready})
+	h.Members(h.clock.now(), brain.Full, h.list, func() {
+		h.pool.Members(h.list, func(n uint32) netip.AddrPort { return netip.MustParseAddrPort(h.places[n-1].Addr) })
+	})
+}
+
 func (h *hall) client() *standin.Client { return standin.NewClient(h.t, h.listener.Addr().String()) }
 
-func (h *hall) call(c *standin.Client, ref string) int32 {
-	return c.Call("SELECT 1", "service", "lookup", "project", "acme", "allow", "20000", "ref", ref+strings.Repeat("0", 15))
+func (h *hall) call(c *standin.Client, ref string) int32 { return h.ask(c, "lookup", ref) }
+
+func (h *hall) ask(c *standin.Client, profile, ref string) int32 {
+	return c.Call("SELECT 1", "service", profile, "project", "acme", "allow", "20000", "ref", ref+strings.Repeat("0", 15))
 }
 
 // deliver makes what comes off connections known, so many times.
@@ -87,12 +102,14 @@
 	}
 }
 
+const window = 0.2 // seconds in which engines drop a repeat
+
 const harmless = "2/1 call{ 1={ 1=[ ] } }"
 
 // TestCrosses: a call that its reader has read when the close is decided is not taken: its answer would never leave. The
 // client sees a clean end.
 func TestCrosses(t *testing.T) {
-	h := newHall(t, 100)
+	h := newHall(t, 100, 0)
 	go h.accept(h.listener)
 	c := h.client()
 	h.arrive(<-h.arrivals, false)
@@ -102,7 +119,7 @@
 		s.Last()
 	}
 	h.deliver(1)
-	if h.Owed() != 0 || len(h.engine.last) > 0 {
+	if h.Owed() != 0 {
 		t.Error("it was taken")
 	}
 	h.expect(c, "closed")
@@ -111,7 +128,7 @@
 // TestInTime: what has come and is ready in the instant in which the grace ends is taken, on an open connection as on a
 // new one; what comes after it is shed while the connection is still owed something.
 func TestInTime(t *testing.T) {
-	h := newHall(t, 100)
+	h := newHall(t, 100, 0)
 	go h.accept(h.listener)
 	open := h.client()
 	h.arrive(<-h.arrivals, false)
@@ -136,7 +153,7 @@
 // TestAcceptQueue: connections that the kernel has accepted when the router ends are turned away with an answer, and none
 // is reset with the listener.
 func TestAcceptQueue(t *testing.T) {
-	h := newHall(t, 100)
+	h := newHall(t, 100, 0)
 	var late []*standin.Client
 	for k := range 5 {
 		late = append(late, h.client())
@@ -165,7 +182,7 @@
 // TestTurnedAway: a client for whom there is no room has its call shed and a clean end; where not even that can be held,
 // its connection is closed.
 func TestTurnedAway(t *testing.T) {
-	h := newHall(t, 16) // 8 for clients, and one beyond to turn away by
+	h := newHall(t, 16, 0) // 8 for clients, and one beyond to turn away by
 	go h.accept(h.listener)
 	for k := range 8 {
 		h.call(h.client(), string(rune('1'+k)))
--- /dev/null
+++ b/internal/router/leave_test.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"dunereach/internal/standin"
+)
+
+// silent checks that no engine is sent anything, up to well past the 0.3 s that are allowed after a client has left.
+func (h *hall) silent() {
+	h.t.Helper()
+	late := time.After(400 * time.Millisecond)
+	for {
+		select {
+		case s := <-h.heard:
+			h.t.Fatalf("an engine was sent %q", s.Words)
+		case e := <-h.inbox:
+			h.Deliver(h.clock.now(), e)
+		case <-late:
+			return
+		case <-time.After(10 * time.Millisecond):
+			h.Tick(h.clock.now())
+		}
+	}
+}
+
+// TestLeft: a command whose client has left, by whichever way, is not sent on: neither from the line nor when the connection
+// that it waits for is up. The order is forced: the owner hears of the end first.
+func TestLeft(t *testing.T) {
+	ways := map[string]func(c *standin.Client){
+		"closes":      func(c *standin.Client) { c.Leave() },
+		"half-closes": func(c *standin.Client) { c.HalfClose() },
+		"cancels":     func(c *standin.Client) { c.Cancel(1) },
+	}
+	for name, leave := range ways {
+		for place, held := range map[string]bool{"in the line": true, "waiting for its connection": false} {
+			t.Run(name+" "+place, func(t *testing.T) {
+				h := newHall(t, 100, 1)
+				go h.accept(h.listener)
+				c := h.client()
+				h.arrive(<-h.arrivals, false)
+				if !held {
+					h.ready(0)
+				}
+				h.call(c, "a")
+				h.deliver(1)
+				if h.Owed() != 1 {
+					t.Fatal("it is not in hand")
+				}
+				if held {
+					leave(c)
+					h.deliver(1)
+					h.ready(0)
+				} else {
+					up := <-h.inbox // the connection is there, and its owner yet to know
+					leave(c)
+					h.deliver(1)
+					h.Deliver(h.clock.now(), up)
+				}
+				h.silent()
+				if h.Owed() != 0 || len(h.cmds) != 0 {
+					t.Error("it is still in hand")
+				}
+				if name == "half-closes" {
+					h.expect(c, harmless)
+					h.expect(c, "closed")
+				}
+			})
+		}
+	}
+}
+
+// TestRunsOn: what runs when its client closes its side goes on, and a client that still reads has its answer.
+func TestRunsOn(t *testing.T) {
+	h := newHall(t, 100, 1)
+	h.ready(0)
+	go h.accept(h.listener)
+	c := h.client()
+	h.arrive(<-h.arrivals, false)
+	h.call(c, "a")
+	h.deliver(2) // its call, and the engine's connection
+	s := <-h.heard
+	c.HalfClose()
+	h.deliver(1)
+	s.Answer("served", "count=1", "x\t\t\n")
+	h.deliver(1)
+	h.expect(c, "2/1 call{ 0={ 1=\"x\\t\\t\\n\" 2=[ ] 3=1 } }")
+	h.expect(c, "closed")
+}
+
+// TestRepeatTooLate: a repeat whose connection comes up after the window in which engines drop it never leaves, and what may
+// have run is not told to be harmless.
+func TestRepeatTooLate(t *testing.T) {
+	h := newHall(t, 100, 2)
+	h.ready(0)
+	go h.accept(h.listener)
+	c := h.client()
+	h.arrive(<-h.arrivals, false)
+	h.ask(c, "once", "a")
+	h.deliver(2)
+	first := h.clock.now()
+	s := <-h.heard
+	h.ready(1)
+	s.Die()
+	h.deliver(1)    // the repeat waits for a connection to the other engine
+	up := <-h.inbox // which is there, and its owner yet to know
+	for h.clock.now() < first+window {
+		time.Sleep(10 * time.Millisecond)
+	}
+	h.Deliver(h.clock.now(), up)
+	h.silent()
+	h.expect(c, "2/1 call{ 2={ 1=[ ] } }")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -237,6 +237,13 @@
 	}
 }
 
+// HalfClosed: the client has said its last, and may be gone or may still read.
+func (r *Router) HalfClosed(id uint32) {
+	if c := r.cmds[id]; c != nil && !c.over() {
+		r.mind.HalfClosed(r.now, id)
+	}
+}
+
 // Room counts the bytes of messages that are not whole: half as many as of statements in hand.
 func (r *Router) Room(bytes int) bool {
 	r.halves += bytes
@@ -277,7 +284,7 @@
 		c.client.Answered(c.seq, j.Pages, r.told(c))
 		r.over(c)
 	}
-	o := brain.Outcome{ID: j.ID, Engine: j.Engine, Send: j.Number, End: end, Lag: r.now - j.At, Over: c.over()}
+	o := brain.Outcome{ID: j.ID, Engine: j.Engine, Send: j.Number, End: end, Unsent: j.Unsent, Lag: r.now - j.At, Over: c.over()}
 	if end == brain.Answered {
 		o.Work, o.Memory = j.Work, j.Memory
 	}
@@ -295,7 +302,7 @@
 
 // What the module asks for (brain.Host). Nothing here calls it back.
 
-func (r *Router) Send(id, engine uint32, limit float64) {
+func (r *Router) Send(id, engine uint32, limit, by float64) {
 	c := r.cmds[id]
 	until := c.dueBy // longer than the client waits is trimmed to that
 	if limit != 0 {
@@ -305,7 +312,7 @@
 	if j.Number++; j.Number == 0 {
 		c.told.Waited = r.now - c.taken
 	}
-	j.Engine, j.At, j.Until = engine, r.now, until
+	j.Engine, j.At, j.Until, j.LeaveBy = engine, r.now, until, by
 	r.pool.Send(j)
 	if j.Out() {
 		r.timers.push(timer{at: until, what: limitOver, token: uint64(id) | uint64(j.Number)<<32})
@@ -337,6 +344,12 @@
 	}
 }
 
+func (r *Router) Withdraw(id uint32, send int) {
+	if c := r.cmds[id]; c != nil && c.job.Number == send {
+		r.pool.Withdraw(&c.job)
+	}
+}
+
 func (r *Router) Priority(id uint32, level int, _ float64) {
 	if c := r.cmds[id]; c != nil && c.job.Level != level {
 		c.job.Level = level
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -22,9 +22,13 @@
 
 func (w *wire) Append(b []byte) int64 { w.last = append(w.last[:0], b...); return 0 }
 func (w *wire) Begun(int64) bool      { return true }
-func (w *wire) Finish()               {}
-func (w *wire) Drop()                 {}
-func (w *wire) Bad()                  {}
+func (w *wire) Written(int64) bool    { return true }
+func (w *wire) Withdraw(int64, int) bool {
+	return false
+}
+func (w *wire) Finish() {}
+func (w *wire) Drop()   {}
+func (w *wire) Bad()    {}
 
 type stage struct {
 	*Router
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -286,7 +286,7 @@
 
 	// An event counts as told 1.5 s after it happened, heard or not. A question every third tick hears of it well
 	// before; while one has no answer every tick asks, so that a dozen may be lost.
-	const tick, askEvery = 100 * time.Millisecond, 3
+	const tick, askEvery = engines.UnstickEvery * 1000 * time.Millisecond, 3
 	asking := time.NewTicker(tick)
 	defer asking.Stop()
 	tidying := time.NewTicker(time.Second)
@@ -319,6 +319,7 @@
 				s.state.Tick(s.clock.now(), s.Router)
 			}
 			s.pool.Unstick()
+			s.pool.Settle()
 			for c := range s.sessions {
 				c.Tick()
 			}
--- a/internal/show/decision.go
+++ b/internal/show/decision.go
@@ -13,7 +13,8 @@
 // deaf carries out nothing, and remembers where the last send went.
 type deaf struct{ engine uint32 }
 
-func (d *deaf) Send(_, engine uint32, _ float64)        { d.engine = engine }
+func (d *deaf) Send(_, engine uint32, _, _ float64)     { d.engine = engine }
+func (d *deaf) Withdraw(uint32, int)                    {}
 func (d *deaf) Shed(uint32, float64)                    {}
 func (d *deaf) Fail(uint32)                             {}
 func (d *deaf) Cancel(uint32, int)                      {}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -105,11 +105,19 @@
 	mild  bool        // ends in a lingering close
 	shut  atomic.Bool // this side has said its last: what still comes is nobody's
 
-	mu     sync.Mutex
-	out    []byte
-	queued int64 // bytes ever appended
-	begun  int64 // of those, bytes that a write was begun with
-	finish bool
+	mu      sync.Mutex
+	out     []byte
+	holes   []hole // what was withdrawn from it
+	queued  int64  // bytes ever appended
+	begun   int64  // of those, bytes that a write was begun with
+	written int64  // of those, bytes that the system has
+	finish  bool
+}
+
+// hole is bytes that were withdrawn, by where they began.
+type hole struct {
+	from int64
+	size int
 }
 
 var errClosed, errGarbled, errStuffed = errors.New("closed"), errors.New("garbled"), errors.New("stuffed")
@@ -220,7 +228,8 @@
 		for {
 			c.mu.Lock()
 			out, finish := c.out, c.finish
-			c.out, c.begun = spare[:0], c.queued
+			c.out, c.begun, c.holes = spare[:0], c.queued, c.holes[:0]
+			begun := c.begun
 			c.mu.Unlock()
 			if spare = out; len(out) == 0 {
 				if finish {
@@ -239,6 +248,9 @@
 				c.quit(errStuffed)
 				return
 			}
+			c.mu.Lock()
+			c.written = begun
+			c.mu.Unlock()
 			if cap(spare) > spared {
 				spare = nil
 			}
@@ -297,6 +309,35 @@
 	return from < c.begun
 }
 
+// Written tells whether all bytes up to a place are the system's.
+func (c *Conn) Written(to int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return to <= c.written
+}
+
+// Withdraw takes bytes back that were appended in one go, unless any may have left. To ask and then to act would leave
+// the writer a moment between.
+func (c *Conn) Withdraw(from int64, size int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if from < c.begun {
+		return false
+	}
+	at := int(from - c.begun)
+	for _, h := range c.holes {
+		if h.from < from {
+			at -= h.size
+		}
+	}
+	if at+size <= len(c.out) { // else the connection is over, and nothing leaves any more
+		c.out = append(c.out[:at], c.out[at+size:]...)
+		c.holes = append(c.holes, hole{from, size})
+		c.net.used.Add(-int64(size))
+	}
+	return true
+}
+
 // Finish closes the connection once all that was appended has gone out.
 func (c *Conn) Finish() {
 	c.mu.Lock()
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
 )
 
 // sink tells a channel what its connection brought.
@@ -206,3 +210,82 @@
 		s.want(t, "closed")
 	})
 }
+
+// TestWithdraw: what waits behind a write that does not end is taken back whole, in any order, and what lies round it leaves;
+// what may have left is not.
+func TestWithdraw(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		_, c, _, there, _ := accepted(t, 4)
+		block := bytes.Repeat([]byte{'.'}, 1<<20)
+		end := int64(0)
+		for size, still := int64(-1), 0; still < 20; { // until the system takes no more
+			if c.Written(end) {
+				end, still = c.Append(block)+int64(len(block)), 0
+			}
+			time.Sleep(time.Millisecond)
+			if c.mu.Lock(); c.written == size {
+				still++
+			}
+			size = c.written
+			c.mu.Unlock()
+		}
+		if c.Withdraw(end-int64(len(block)), len(block)) {
+			rt.Fatal("what has begun to leave was taken back")
+		}
+		type part struct {
+			from int64
+			text string
+		}
+		var parts []part
+		want, sizes := "", rapid.SliceOfN(rapid.IntRange(1, 9), 1, 12).Draw(rt, "sizes")
+		for k, size := range sizes {
+			text := strings.Repeat(string(rune('a'+k)), size)
+			parts = append(parts, part{c.Append([]byte(text)), text})
+		}
+		back := rapid.Permutation(parts).Draw(rt, "back")[:rapid.IntRange(0, len(parts)).Draw(rt, "of them")]
+		for _, p := range back {
+			if !c.Withdraw(p.from, len(p.text)) {
+				rt.Fatal("what waits was not taken back")
+			}
+		}
+		for _, p := range parts {
+			if !slices.Contains(back, p) {
+				want += p.text
+			}
+		}
+		c.Finish()
+		all, err := io.ReadAll(there)
+		if got := string(bytes.TrimLeft(all, ".")); got != want || err != nil {
+			rt.Errorf("%q arrived, %v; want %q", got, err, want)
+		}
+		if used := c.net.used.Load(); used != 0 {
+			rt.Errorf("%d bytes are counted", used)
+		}
+		there.Close()
+	})
+}
+
+// TestWithdrawRace: however the writer and one who takes back meet, a part either is taken back and does not arrive, or
+// arrives.
+func TestWithdrawRace(t *testing.T) {
+	_, c, _, there, _ := accepted(t, 4)
+	arrived := make(chan string)
+	go func() { all, _ := io.ReadAll(there); arrived <- string(all) }()
+	var want strings.Builder
+	taken := 0
+	for k := range 20000 {
+		part := fmt.Sprintf("%d,", k)
+		if from := c.Append([]byte(part)); k%3 > 0 || !c.Withdraw(from, len(part)) {
+			want.WriteString(part)
+		} else {
+			taken++
+		}
+	}
+	c.Finish()
+	if got := <-arrived; got != want.String() {
+		t.Errorf("%d bytes arrived, want %d", len(got), want.Len())
+	}
+	if taken == 0 {
+		t.Error("none was taken back")
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -220,6 +220,10 @@
 // Raw sends bytes as they are. What can't be sent shows in what comes back.
 func (c *Client) Raw(b []byte) { c.conn.Write(b) }
 
+// HalfClose says that nothing more will be asked; Leave is gone for good.
+func (c *Client) HalfClose() { c.conn.(*net.TCPConn).CloseWrite() }
+func (c *Client) Leave()     { c.conn.Close() }
+
 // Next is the next answer, or how the connection ended.
 func (c *Client) Next() string {
 	c.t.Helper()
