A silent list is asked for on a new socket; a partial list never lets an older one back

Seen, each by a test that forces the order (red before): - where nothing that leaves the router's UDP socket is answered any more (a flow lost on the way), the list is not heard of again: TestFlowLost 'no "list of engines","rev":2 in the log' after 20 s; service.question wrote to one socket for the life of the process; - a list in which a new engine's records were missing kept the old number, so that an older list on its way brought a draining engine back as ready: TestRecordsMissing 'an older list that comes late, while the newer is not whole: true <nil> rev 49'; members.Answer left f.rev where it was; - answers count only where their question is one of the last eight, 0.8 s while the server is slow. Ruled out: an older serial with a whole list, answers of the server before a SIGHUP (by socket).

Change: after 1 s with no good answer a new socket asks, the one before it is heard until the next; the list's number is taken with a partial list, which is asked for again; 64 questions are known. Harm: while the server is down a socket is opened each second, two at a time at most.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -91,6 +91,7 @@
 	names    *standin.NameServer
 	engines  []*standin.Engine
 	heard    chan standin.Said
+	text     string // of the configuration
 	cmd      *exec.Cmd
 	log      chan string
 	refs     int
@@ -120,12 +121,21 @@
 	text := fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":%d},"nameserver":"%s",
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"rev":1,"all":true,"targets":[%s]}}]},"settings":%s}`,
 		descriptors, w.names.Addr, strings.Join(targets, ","), settings)
+	w.text = text
 	if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return w
 }
 
+// pipe has the configuration come through a pipe, so that its reader waits for it.
+func (w *town) pipe() {
+	os.Remove(w.config)
+	if err := syscall.Mkfifo(w.config, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // operators writes the operators' file.
 func (w *town) operators(text string) {
 	w.operator = filepath.Join(filepath.Dir(w.config), "operator.json")
@@ -356,11 +366,13 @@
 func TestClients(t *testing.T) {
 	w := newTown(t, 1)
 	c, bad := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
-	c.Cancel(w.call(c, "lookup", 30000, "SELECT 1"))
+	given := w.call(c, "lookup", 30000, "SELECT 1")
+	runs := w.hear("fetch") // a cancel that came before it had left would take it back
+	c.Cancel(given)
 	if !c.Health() { // its answer tells that the cancel was read
 		t.Error("not ready")
 	}
-	w.hear("fetch").Answer("served", "count=1", "unwanted\t\t\n")
+	runs.Answer("served", "count=1", "unwanted\t\t\n")
 	bad.Raw([]byte("GET / HTTP/1.1\r\n\r\n"))
 	if got := bad.Next(); got != "closed" && !strings.Contains(got, "reset") {
 		t.Errorf("a client that speaks another protocol got %q", got)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -56,11 +56,12 @@
 type Follower struct {
 	zones, kinds []string
 	rev          uint32
+	partial      bool // an engine of the list of that number is not known yet
 	numbers      map[string]uint32
 	names        map[uint32]string
 	addrs        map[uint32]netip.AddrPort
 	list         []brain.Entry
-	asked        [8]uint16 // ids of the last questions, for answers that are slow
+	asked        [64]uint16 // ids of the last questions, ten a second: answers count for as long as news may be on its way
 	next         int
 }
 
@@ -171,11 +172,11 @@
 	}
 	if l.Serial < f.rev { // events are counted from 1 at each start: the number never wraps
 		return false, errOlder
-	} else if l.Serial == f.rev {
+	} else if l.Serial == f.rev && !f.partial {
 		return false, nil
 	}
 	var odd error
-	rev := l.Serial
+	partial := false
 	list := make([]brain.Entry, 0, len(l.Services))
 	addrs := make(map[uint32]netip.AddrPort, len(l.Services))
 	for _, s := range l.Services {
@@ -193,7 +194,7 @@
 				was.State, addrs[n] = e.State, f.addrs[n]
 				list = append(list, was)
 			} else {
-				rev = f.rev
+				partial = true
 			}
 			continue
 		}
@@ -228,6 +229,6 @@
 			delete(f.names, n)
 		}
 	}
-	f.rev, f.list, f.addrs = rev, list, addrs
+	f.rev, f.partial, f.list, f.addrs = l.Serial, partial, list, addrs
 	return true, odd
 }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -146,6 +146,9 @@
 	if fresh, err := f.Answer(cut(50, 10, added...)); !fresh || err == nil || len(f.List()) != 3 {
 		t.Error(fresh, err, state(f))
 	}
+	if fresh, err := f.Answer(reply(question(f), 49, same...)); fresh || err != errOlder || f.List()[0].State != brain.Draining {
+		t.Error("an older list that comes late, while the newer is not whole:", fresh, err, state(f))
+	}
 	if fresh, err := f.Answer(reply(question(f), 50, added...)); !fresh || err != nil || len(f.List()) != 4 || f.Rev() != 50 {
 		t.Error(fresh, err, state(f))
 	}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -60,6 +60,8 @@
 	accepted chan struct{} // closed: no more arrive
 	answers  chan datagram
 	ask      *net.UDPConn // to the name server of now
+	askedBy  *net.UDPConn // the one before it, to the same: its answers may be on their way
+	askedAt  float64      // when ask was opened
 	group    *errgroup.Group
 	ctx      context.Context
 	sessions map[*front.Session]struct{}
@@ -93,9 +95,6 @@
 		return fmt.Errorf("listen: %v", err)
 	}
 	defer listener.Close()
-	if s.ask, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(cfg.NameServer)); err != nil {
-		return fmt.Errorf("name server: %v", err)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -127,11 +126,15 @@
 		state.Run(ctx, group)
 	}
 	group.Go(func() error { return s.accept(listener) })
-	first := s.ask // a renewed configuration may bring another
-	group.Go(func() error { return s.hear(first) })
+	if err := s.askBy(cfg.NameServer); err != nil {
+		cancel()
+		listener.Close()
+		group.Wait()
+		return fmt.Errorf("name server: %v", err)
+	}
 	group.Go(func() error {
 		defer cancel()
-		defer func() { s.ask.Close() }() // the one of then
+		defer s.hushAll()
 		defer listener.Close()
 		return s.own(stop, renewed, listener)
 	})
@@ -211,19 +214,54 @@
 		s.members(brain.Full)
 	}
 	if c.NameServer != s.cfg.NameServer {
-		ask, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(c.NameServer))
-		if err != nil {
+		was := [...]*net.UDPConn{s.ask, s.askedBy} // their answers count no more
+		if err := s.askBy(c.NameServer); err != nil {
 			s.log.Error("name server", zap.Error(err))
 			return
 		}
-		s.ask.Close() // its answers count no more
-		s.ask, s.cfg.NameServer = ask, c.NameServer
-		s.group.Go(func() error { return s.hear(ask) })
+		hush(was[:]...)
+		s.cfg.NameServer, s.askedBy = c.NameServer, nil
 	}
 	s.question()
 	s.log.Info("new configuration", zap.Stringer("nameserver", c.NameServer), zap.Strings("kept until a restart", kept))
 }
 
+// askBy opens a socket for questions to a name server.
+func (s *service) askBy(addr netip.AddrPort) error {
+	ask, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(addr))
+	if err == nil {
+		s.ask, s.askedAt = ask, s.clock.now()
+		s.group.Go(func() error { return s.hear(ask) })
+	}
+	return err
+}
+
+// askAnew asks on a new socket where nothing has come for some questions: what is lost on the way of one may be lost for good.
+// The one before stays for answers that are slow.
+func (s *service) askAnew() {
+	const unheard = 1.0 // seconds, ten questions: not all by chance, and short against the time in which news counts as told
+	now := s.clock.now()
+	if now-max(s.heardAt, s.askedAt) < unheard {
+		return
+	}
+	was, older := s.ask, s.askedBy
+	if s.askedAt = now; s.askBy(s.cfg.NameServer) == nil {
+		s.askedBy = was
+		hush(older)
+	}
+}
+
+func (s *service) hushAll() { hush(s.ask, s.askedBy) }
+
+// hush closes sockets, those that are there.
+func hush(sockets ...*net.UDPConn) {
+	for _, c := range sockets {
+		if c != nil {
+			c.Close()
+		}
+	}
+}
+
 // operators takes over what can change of the operators' file, and names what can't.
 func (s *service) operators(c config.Config) (kept []string) {
 	was, is := s.cfg.Operator, c.Operator
@@ -324,12 +362,13 @@
 				c.Tick()
 			}
 			if s.ticks++; s.waits || s.ticks%askEvery == 0 {
+				s.askAnew()
 				s.question()
 			}
 		case <-tidying.C:
 			s.tidy()
 		case msg := <-s.answers:
-			if msg.from == s.ask {
+			if msg.from == s.ask || msg.from == s.askedBy {
 				s.answer(msg.text)
 			}
 		case c := <-renewed:
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -68,6 +68,9 @@
 	mu   sync.Mutex
 	rev  uint32
 	list []string
+	deaf map[string]bool // to these addresses
+	met  map[string]bool
+	once chan struct{} // closed with the first question
 }
 
 func NewNameServer(t T, name string) *NameServer {
@@ -76,7 +79,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	n := &NameServer{Addr: c.LocalAddr().String()}
+	n := &NameServer{Addr: c.LocalAddr().String(), met: map[string]bool{}, once: make(chan struct{})}
 	go func() {
 		buf := make([]byte, 512)
 		for {
@@ -85,7 +88,13 @@
 				return
 			}
 			n.mu.Lock()
-			c.WriteTo(Reply(binary.BigEndian.Uint16(buf), n.rev, name, n.list...), from)
+			if len(n.met)+len(n.deaf) == 0 {
+				close(n.once)
+			}
+			n.met[from.String()] = true
+			if !n.deaf[from.String()] {
+				c.WriteTo(Reply(binary.BigEndian.Uint16(buf), n.rev, name, n.list...), from)
+			}
 			n.mu.Unlock()
 		}
 	}()
@@ -99,6 +108,16 @@
 	n.rev, n.list = rev, engines
 }
 
+// Asked waits for the first question.
+func (n *NameServer) Asked() { <-n.once }
+
+// Forget answers nobody any more who has asked so far, as where a flow on the way is lost.
+func (n *NameServer) Forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deaf, n.met = n.met, map[string]bool{}
+}
+
 // Said is one line that an engine was sent, with the bytes behind it.
 type Said struct {
 	Words  []string
