Signals count from the first line on, a half-written file is read again, the log holds nothing up

Seen, each by a test over processes (red before, quoted): - SIGTERM while the configuration is read: 'ended with status -1, want 0' (TestEndsEarly); the handler stood behind load() in command.serve; - SIGHUP with a file half written: not taken, and nothing more until another signal (TestHalfWritten); - a log that nobody reads: 'it does not end' (TestNoReader): logs.Writer.Run ends in a blocking write, and group.Wait waited for it; the same for a reload that is stuck in reading its file; - a log whose reader has gone: 'connection refused' (TestReaderGone): Go ends a process at EPIPE on descriptor 2, and the router was dead with all that it had taken. Ruled out: many SIGTERMs, SIGHUP during the end, both many times over (TestEndsEarly sends 20 pairs).

Change: both signals are asked for first; asked to end before it serves, a router ends with 0; reading again is tried for 2 s; the end waits 1 s at most for the log's last lines; SIGPIPE is ignored. Harm: a configuration that is wrong is read 20 times over 2 s, and said at the first and the last. Open: a SIGTERM in the instant of the exec to dunefleet (fleet or state in the operators' file).

--- /dev/null
+++ b/cmd/dunereach/signal_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunereach/internal/standin"
+)
+
+// TestHalfWritten: a configuration that is half written when the signal comes is taken once it is whole, without another.
+func TestHalfWritten(t *testing.T) {
+	w := newTown(t, 1)
+	w.logged("serving")
+	good, err := os.ReadFile(w.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(good), `"memory_mb":192`, `"memory_mb":96`, 1)
+	f, err := os.Create(w.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(f, text[:len(text)/2])
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.logged("new configuration not taken")
+	fmt.Fprint(f, text[len(text)/2:])
+	f.Close()
+	w.logged(`"kept until a restart":["limits"]`)
+}
+
+// TestEndsEarly: asked to end while it starts, a router ends well and has taken nothing that it does not answer; so does one
+// that is asked to end and to read its configuration again, many times over.
+func TestEndsEarly(t *testing.T) {
+	for _, wait := range []time.Duration{0, 5, 20, 100} {
+		w := plan(t, 1, 1024)
+		w.pipe() // it can't start before its configuration is there
+		w.start()
+		f, err := os.OpenFile(w.config, os.O_WRONLY, 0) // it has been opened to be read
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(wait * time.Millisecond)
+		for range 20 {
+			w.cmd.Process.Signal(syscall.SIGHUP)
+			w.cmd.Process.Signal(syscall.SIGTERM)
+		}
+		f.WriteString(w.text)
+		f.Close()
+		w.ended(0)
+	}
+}
+
+// TestNoReader: a router whose log nobody reads ends all the same.
+func TestNoReader(t *testing.T) {
+	w := plan(t, 1, 1024)
+	cmd := w.command()
+	r, out, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	fd := int(out.Fd()) // each call of Fd has it block again
+	syscall.SetNonblock(fd, true)
+	for full := false; !full; { // what it would write to is full
+		_, err := syscall.Write(fd, []byte("noise\n"))
+		full = err != nil
+	}
+	syscall.SetNonblock(fd, false)
+	if c := standin.NewClient(t, w.addr); !c.Health() {
+		t.Fatal("not ready")
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(standin.Patience):
+		t.Error("it does not end")
+	}
+}
+
+// TestReaderGone: a router whose log's reader has gone serves on.
+func TestReaderGone(t *testing.T) {
+	w := plan(t, 1, 1024)
+	cmd := w.command()
+	r, out, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	out.Close()
+	line, err := bufio.NewReader(r).ReadString('\n')
+	if err != nil || !strings.Contains(line, "serving") {
+		t.Fatal(line, err)
+	}
+	r.Close()
+	cmd.Process.Signal(syscall.SIGHUP) // which it says in its log
+	for range 3 {
+		bad := standin.NewClient(t, w.addr) // and this
+		bad.Raw([]byte("GET / HTTP/1.0\r\n\r\n"))
+		bad.Next()
+	}
+	if c := standin.NewClient(t, w.addr); !c.Health() {
+		t.Error("not ready")
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -9,21 +9,26 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"dunereach/internal/config"
 	"dunereach/internal/logs"
 	"dunereach/internal/router"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 )
 
 func serve(load func() (config.Config, error), with With, out io.Writer) error {
-	// First of all: one that comes before the router serves must not end it. Several in a row are one.
+	// First of all: a signal that comes before the router serves must not end it where it stands. Several SIGHUPs in a row are one.
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
-	cfg, err := load()
-	if err != nil {
+	// The first signal asks for an orderly end, which more of SIGTERM don't disturb; a second interrupt ends at once.
+	asked, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer forget()
+	context.AfterFunc(asked, func() { signal.Reset(os.Interrupt) })
+	signal.Ignore(syscall.SIGPIPE) // one who reads the log no more must not end the router
+	cfg, err := first(asked, load)
+	if err != nil || asked.Err() != nil { // asked to end before it serves: nothing has been taken
 		return err
 	}
 	if cfg.Operator.Fleet != nil && with.Fleet == nil || cfg.Operator.State != nil && with.State == nil {
@@ -36,10 +41,6 @@
 	if mb := cfg.Limits.MemoryMB; mb > 0 { // the rest is for the kernel's buffers and the program itself
 		debug.SetMemoryLimit(int64(mb * (1 << 20) * 0.6))
 	}
-	// The first signal asks for an orderly end, which more of SIGTERM don't disturb; a second interrupt ends at once.
-	asked, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer forget()
-	context.AfterFunc(asked, func() { signal.Reset(os.Interrupt) })
 	writer := logs.NewWriter()
 	ctx, served := context.WithCancel(context.Background())
 	log := logs.New(writer)
@@ -55,28 +56,51 @@
 	if s := cfg.Operator.State; s != nil {
 		kept = with.State(*s, cfg.Name, log)
 	}
-	var group errgroup.Group
-	group.Go(func() error {
+	// Neither can be called back from a file that nobody writes or a log that nobody reads, so the process's end does not wait for
+	// them but for a while: they end with it.
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
 		writer.Run(ctx, out)
-		return nil
-	})
-	group.Go(func() error {
-		defer served()
-		return router.Serve(ctx, asked.Done(), renewed, cfg, fleet, kept, log)
-	})
-	group.Go(func() error {
-		reload(ctx, load, again, renewed, log)
-		return nil
-	})
-	return group.Wait()
+	}()
+	go reload(ctx, load, again, renewed, log)
+	err = router.Serve(ctx, asked.Done(), renewed, cfg, fleet, kept, log)
+	served()
+	const last = time.Second // for the log's last lines: a reader that is only slow has them by then
+	select {
+	case <-written:
+	case <-time.After(last):
+	}
+	return err
+}
+
+// first reads the files for the start. To be asked to end comes before that: what is read from may never come.
+func first(asked context.Context, load func() (config.Config, error)) (cfg config.Config, err error) {
+	done := make(chan struct{})
+	go func() { // ends with the process at the latest
+		defer close(done)
+		cfg, err = load()
+	}()
+	select {
+	case <-done:
+		return cfg, err
+	case <-asked.Done():
+		return config.Config{}, nil
+	}
 }
 
-// reload reads the files again at each signal and hands them on; one that can't be read changes nothing.
+// reload reads the files again at each signal and hands them on; those that can't be read change nothing. A file may be
+// half written when the signal comes, so it is read again for a while. Harm: one that is wrong is read some times over.
 func reload(ctx context.Context, load func() (config.Config, error), again <-chan os.Signal,
 	renewed chan<- config.Config, log *zap.Logger) {
+	const every, tries = 100 * time.Millisecond, 20 // what writes a file has written it within two seconds
+	var retry <-chan time.Time
+	left := 0
 	for {
 		select {
 		case <-again:
+			left = tries
+		case <-retry:
 		case <-ctx.Done():
 			return
 		}
@@ -84,8 +108,13 @@
 		if err == nil {
 			err = held(ctx, cfg)
 		}
-		if err != nil {
-			log.Error("new configuration not taken", zap.Error(err))
+		if retry = nil; err != nil {
+			if left--; left > 0 {
+				retry = time.After(every)
+			}
+			if left == tries-1 || left == 0 {
+				log.Error("new configuration not taken", zap.Error(err), zap.Bool("tried again", left > 0))
+			}
 			continue
 		}
 		select {
