A uniqued command's token goes on to engines with every send, so that they know a repeat

A probe in a scratch copy printed the fields that a call has and the front does not read: `replay`, 32 hex digits. Wrong lines: front.Ask.field passed over it, lines.Fetch had no place for it.

Change: `replay` of a call goes on as `token` of each send, whatever the class; one that can't stand in a line is refused like any other field. Where no client sends it nothing changes, byte for byte.

--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -29,6 +29,7 @@
 	Ref       Ref
 	Profile   string
 	Statement []byte
+	Token     []byte
 	Level     int
 	At, Until float64
 	LeaveBy   float64 // none of its bytes may leave from then on, 0: any time
@@ -293,7 +294,7 @@
 	}
 	j.sent = true
 	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
-	c.pool.scratch = lines.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Statement)
+	c.pool.scratch = lines.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Token, j.Statement)
 	j.from, j.size = c.line.Append(c.pool.scratch), len(c.pool.scratch)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,7 +20,8 @@
 	Profile, Tenant, Team []byte  // Team: as the call has it, where the operators' file lets it say so
 	Allow, Effort, Memory float64 // seconds, seconds, MB
 	Statement             []byte
-	have                  uint // fields that came, by their place in the table
+	Token                 []byte // of a uniqued command: by it engines know a repeat
+	have                  uint   // fields that came, by their place in the table
 }
 
 // Caller is who asked, by the number that its protocol gives the call. A command that it holds gets one answer.
@@ -287,6 +288,8 @@
 	return ""
 }
 
+const mostToken = 128 // bytes: four times what clients send
+
 // field takes one in; none can stand there twice.
 func (a *Ask) field(name string, value []byte) (ok bool) {
 	ok = true
@@ -311,6 +314,11 @@
 		copy(a.Ref[:], value)
 	case "allow":
 		a.Allow, ok = number(value, 1000)
+	case "replay":
+		a.Token, ok = value, len(value) <= mostToken
+		for _, c := range value { // it goes on to engines as the value of a field
+			ok = ok && c > ' ' && c < 0x7f && c != ',' && c != '='
+		}
 	case "effort":
 		a.Effort, ok = number(value, 1000)
 		ok = ok && a.Effort < 1e6 // work of days on one core is no estimate
@@ -320,7 +328,7 @@
 	return ok
 }
 
-var fields = [...]string{"service", "project", "ref", "allow", "effort", "memory"}
+var fields = [...]string{"service", "project", "ref", "allow", "effort", "memory", "replay"}
 
 // number reads a plain decimal figure: no sign before it, no infinity, nothing that only some readers take.
 func number(b []byte, unit float64) (float64, bool) {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -150,13 +150,16 @@
 
 // The writers append one message each.
 
-// Fetch asks for a query to be run. Priority 1 is what goes without saying.
-func Fetch(b, id []byte, kind string, wait, priority int, statement []byte) []byte {
+// Fetch asks for a query to be run. Priority 1 is what goes without saying; a token is that of a uniqued command.
+func Fetch(b, id []byte, kind string, wait, priority int, token, statement []byte) []byte {
 	b = append(append(append(b, "fetch "...), id...), " kind="...)
 	b = strconv.AppendInt(append(append(b, kind...), ",ms="...), int64(wait), 10)
 	if priority != 1 {
 		b = strconv.AppendInt(append(b, ",order="...), int64(priority), 10)
 	}
+	if len(token) > 0 {
+		b = append(append(b, ",token="...), token...)
+	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(statement)), 10)
 	return append(append(append(b, "\r\n"...), statement...), "\r\n"...)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -201,7 +201,7 @@
 		a.Allow = min(a.Allow, r.set.Longest)
 	}
 	*c = command{client: client, seq: seq, taken: r.now, dueBy: r.now + a.Allow, job: engines.Job{ID: r.lastID, Number: -1, Ref: a.Ref,
-		Profile: r.set.Profiles[profile], Statement: append(c.job.Statement[:0], a.Statement...), Level: noPriority,
+		Profile: r.set.Profiles[profile], Statement: append(c.job.Statement[:0], a.Statement...), Token: append(c.job.Token[:0], a.Token...), Level: noPriority,
 		Pages: c.job.Pages}}
 	r.cmds[c.job.ID], r.refs[a.Ref] = c, struct{}{}
 	r.owed++
