The order key of a call reaches the module: ordered profiles keep their order on sockets

Ruled out: KeyRest and Ordered, which settings.go reads.

Change: front reads it, the module gets its hash. Harm: two keys of one hash wait for each other.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -74,10 +74,11 @@
 	}
 }
 
-// One kind of machine, a replayable profile and one that must never run twice.
+// One kind of machine, a replayable profile, one that must never run twice and one that keeps its order.
 const settings = `{"Balancers":1,"Tick":5,"Dcs":["east"],"Kinds":["std"],"Discovery":"push",
 	"Classes":[{"Name":"lookup","Aim":20000,"Deadline":30000,"Effect":"safe","Worth":1},
-		{"Name":"order","Aim":20000,"Deadline":30000,"Effect":"unsafe","Worth":1}],
+		{"Name":"order","Aim":20000,"Deadline":30000,"Effect":"unsafe","Worth":1},
+		{"Name":"ledger","Aim":20000,"Deadline":30000,"Effect":"safe","ByArrival":true,"Worth":1}],
 	"FamilyInfo":{"CpuOfKind":[8],"RanksHeeded":true},"Realms":[{"Name":"acme","QuotaPerS":1000}],
 	"Limits":{"ConnIdle":30000,"ConnectTimeout":5000,"MaxStreams":100,"MaxRetryAfter":500,"OpenCap":1000,"RetryAfter":true,"SendCap":6},
 	"Obligations":{"ColdFrom":0.35,"DrainGrace":250,"Fall":1000,"FallMultiple":2,"WarmUp":15000}}`
--- /dev/null
+++ b/cmd/dunereach/profiles_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"dunereach/internal/standin"
+)
+
+// TestToken: what a client sends for a repeat to be known by goes on to engines with each send, unchanged; one that could
+// not stand there is refused.
+func TestToken(t *testing.T) {
+	w := newTown(t, 2)
+	c := standin.NewClient(t, w.addr)
+	call := func(token string) int32 {
+		w.refs++
+		return c.Call("SELECT 1", "service", "lookup", "project", "acme", "allow", "30000", "ref", fmt.Sprintf("%016x", w.refs), "replay", token)
+	}
+	seq := call("f67149c9:8847")
+	first := w.hear("fetch")
+	first.Die()
+	again := w.hear("fetch")
+	for _, s := range []standin.Said{first, again} {
+		if !strings.HasSuffix(s.Words[2], ",token=f67149c9:8847") {
+			t.Errorf("an engine was sent %q", s.Words)
+		}
+	}
+	again.Answer("served", "count=1", "x\t\t\n")
+	w.expect(c, served(seq, "x\t\t\n"))
+	for _, bad := range []string{"a,ms=1", "a b", "a\r\nabort", "a=b", strings.Repeat("x", 129)} {
+		call(bad)
+		if got := c.Next(); !strings.Contains(got, "replay can't be used") {
+			t.Errorf("%q: %s", bad, got)
+		}
+	}
+	if s := w.serve(c, "lookup"); strings.Contains(s.Words[2], "token") {
+		t.Errorf("one without was sent with %q", s.Words)
+	}
+}
+
+// TestOrdered: of an ordered profile, commands with one key run one at a time and in the order in which they came, whatever
+// connections they came on; those with another key, with none, or of another profile don't wait for them.
+func TestOrdered(t *testing.T) {
+	w := newTown(t, 2)
+	a, b := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
+	call := func(c *standin.Client, profile, statement string, key ...string) int32 {
+		w.refs++
+		return c.Call(statement, append([]string{"service", profile, "project", "acme", "allow", "30000", "ref",
+			fmt.Sprintf("%016x", w.refs)}, key...)...)
+	}
+	one := call(a, "ledger", "SELECT 1", "lookup", "000616d7ae5218ff")
+	first := w.hear("fetch")
+	two := call(b, "ledger", "SELECT 2", "lookup", "000616d7ae5218ff")
+	for k, free := range [][]string{{"ledger", "lookup", "000616d7ae5218fe"}, {"ledger"}, {"lookup", "lookup", "000616d7ae5218ff"}} {
+		seq := call(b, free[0], fmt.Sprintf("SELECT %d", 3+k), free[1:]...)
+		s := w.hear("fetch")
+		if want := fmt.Sprintf("SELECT %d", 3+k); s.Body != want {
+			t.Fatalf("an engine was sent %q, want %q", s.Body, want)
+		}
+		s.Answer("served", "count=1", "x\t\t\n")
+		w.expect(b, served(seq, "x\t\t\n"))
+	}
+	first.Answer("served", "count=1", "x\t\t\n")
+	w.expect(a, served(one, "x\t\t\n"))
+	second := w.hear("fetch")
+	if second.Body != "SELECT 2" {
+		t.Errorf("an engine was sent %q", second.Body)
+	}
+	second.Answer("served", "count=1", "y\t\t\n")
+	w.expect(b, served(two, "y\t\t\n"))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	Profile, Tenant, Team []byte  // Team: as the call has it, where the operators' file lets it say so
 	Allow, Effort, Memory float64 // seconds, seconds, MB
 	Statement             []byte
+	Key                   []byte // commands of ordered profiles with the same run one after the other
 	Token                 []byte // of a uniqued command: by it engines know a repeat
 	have                  uint   // fields that came, by their place in the table
 }
@@ -319,6 +320,8 @@
 		for _, c := range value { // it goes on to engines as the value of a field
 			ok = ok && c > ' ' && c < 0x7f && c != ',' && c != '='
 		}
+	case "lookup":
+		a.Key = value
 	case "effort":
 		a.Effort, ok = number(value, 1000)
 		ok = ok && a.Effort < 1e6 // work of days on one core is no estimate
@@ -328,7 +331,7 @@
 	return ok
 }
 
-var fields = [...]string{"service", "project", "ref", "allow", "effort", "memory", "replay"}
+var fields = [...]string{"service", "project", "ref", "allow", "effort", "memory", "replay", "lookup"}
 
 // number reads a plain decimal figure: no sign before it, no infinity, nothing that only some readers take.
 func number(b []byte, unit float64) (float64, bool) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -213,7 +213,15 @@
 		team = r.teams.Of(tenant, a.Team)
 	}
 	r.mind.Command(r.now, brain.Command{ID: c.job.ID, Team: team, Mark: r.mark(a), Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
-		Memory: a.Memory, Area: area})
+		Memory: a.Memory, Area: area, Key: key(a.Key)})
+}
+
+// key is the order key as the module has it. Two that come to the same number wait for each other, which does no harm.
+func key(b []byte) uint64 {
+	if len(b) == 0 {
+		return 0
+	}
+	return max(xxhash.Sum64(b), 1) // 0 is none
 }
 
 // mark is the same for a client's tries of one command: those have new ids, but say the same.
