--- a/internal/router/close_test.go
+++ b/internal/router/close_test.go
@@ -25,6 +25,7 @@
 	*service
 	t        *testing.T
 	listener *net.TCPListener
+	close    func()
 	heard    chan standin.Said
 	places   []*standin.Engine
 	list     []brain.Entry
@@ -52,7 +53,8 @@
 	if h.listener, err = net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { cancel(); h.listener.Close(); group.Wait() })
+	h.close = func() { cancel(); h.listener.Close(); group.Wait() }
+	t.Cleanup(h.close)
 	return h
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -243,6 +243,12 @@
 func (c *Client) HalfClose() { c.conn.(*net.TCPConn).CloseWrite() }
 func (c *Client) Leave()     { c.conn.Close() }
 
+// Reset cuts the connection, as a client's process that dies.
+func (c *Client) Reset() {
+	c.conn.(*net.TCPConn).SetLinger(0)
+	c.conn.Close()
+}
+
 // Next is the next answer, or how the connection ended.
 func (c *Client) Next() string {
 	c.t.Helper()
