--- a/budgets/tree_test.go
+++ b/budgets/tree_test.go
@@ -211,40 +211,55 @@
 		weights := rapid.SliceOfN(rapid.Float64Range(0.2, 5), n, n).Draw(t, "weights")
 		// Credit ends at ten seconds of full use: the largest commands of all teams together are less.
 		sizes := rapid.SliceOfN(rapid.Float64Range(0.05, 10*float64(places)/float64(n+1)), n, n).Draw(t, "sizes")
-		tree := must(t, flat(weights...))
-		tree.Tick(0, float64(places))
-		p := newPool(tree, places)
-		p.free = 0 // all wait before the first goes, so that every team is in use and inside its budget
-		largest, sum := 0.0, 0.0
-		for _, s := range sizes {
-			largest = max(largest, s)
+		var commands []int
+		for range n {
+			commands = append(commands, rapid.IntRange(1, 30).Draw(t, "commands"))
 		}
-		for _, w := range weights {
-			sum += w
-		}
-		type probe struct {
-			at    int32
-			bound float64
-		}
-		var probes []probe
-		for k := range n {
-			for j := range rapid.IntRange(1, 30).Draw(t, "commands") {
-				at := p.hold(k, float64(j), sizes[k])
-				own := float64(j+1) * sizes[k]
-				probes = append(probes, probe{at, (own*sum/weights[k] + float64(n+places)*largest) / float64(places)})
-			}
-		}
-		p.free = places
-		p.fill()
-		for len(p.runs) > 0 {
-			p.step()
+		waitBound(t, places, weights, sizes, commands)
+	})
+}
+
+// TestWaitBoundCases: what the property found once, each mended since.
+func TestWaitBoundCases(t *testing.T) {
+	waitBound(t, 1, []float64{1, 1}, []float64{1, 1}, []int{6, 1})
+	waitBound(t, 1, []float64{1, 1, 1, 1}, []float64{1, 1, 1.75, 0.5}, []int{1, 7, 7, 7})
+}
+
+func waitBound(t rapid.TB, places int, weights, sizes []float64, commands []int) {
+	n := len(weights)
+	tree := must(t, flat(weights...))
+	tree.Tick(0, float64(places))
+	p := newPool(tree, places)
+	p.free = 0 // all wait before the first goes, so that every team is in use and inside its budget
+	largest, sum := 0.0, 0.0
+	for _, s := range sizes {
+		largest = max(largest, s)
+	}
+	for _, w := range weights {
+		sum += w
+	}
+	type probe struct {
+		at    int32
+		bound float64
+	}
+	var probes []probe
+	for k := range n {
+		for j := range commands[k] {
+			at := p.hold(k, float64(j), sizes[k])
+			own := float64(j+1) * sizes[k]
+			probes = append(probes, probe{at, (own*sum/weights[k] + float64(n+places)*largest) / float64(places)})
 		}
-		for _, b := range probes {
-			if p.waits[b.at] > b.bound+1e-9 {
-				t.Fatalf("command %d waited %.3f s, the bound is %.3f", b.at, p.waits[b.at], b.bound)
-			}
+	}
+	p.free = places
+	p.fill()
+	for len(p.runs) > 0 {
+		p.step()
+	}
+	for _, b := range probes {
+		if p.waits[b.at] > b.bound+1e-9 {
+			t.Fatalf("command %d waited %.3f s, the bound is %.3f", b.at, p.waits[b.at], b.bound)
 		}
-	})
+	}
 }
 
 // TestSettled: a team whose estimates are a tenth of the true work has no more of the pool for it.
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -215,38 +215,44 @@
 func TestNeed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 30).Draw(t, "members")
-		terms := Standard(n, 1, 0.05)
-		d := NewDealer(terms, 7, 0, 0)
-		served := map[string]int{}
-		least := rapid.Float64Range(0.5, 4).Draw(t, "least") / float64(n)
-		now := 10.0
-		for range 24 * n {
-			round := d.Open(now)
-			for k := range n {
-				need := 0.0
-				if k%2 == 0 {
-					need = max(least, 2/float64(n))
-				}
-				d.Pledge(now+0.1, fmt.Sprint(k), 1, Pledge{Fence: d.Fence(), Round: round, Tag: round, Need: need, Least: least, Members: n, Lays: terms.Pledge})
-			}
-			sum := 0.0
-			for _, to := range d.Deal(now + 0.2) {
-				sum += to.Part
-				if to.Part >= least-1e-6 { // a rounding less is as good
-					served[to.Name]++
-				}
-			}
-			if sum > 1+1e-9 || d.Live(now+0.2) > 1+1e-9 {
-				t.Fatalf("%v dealt, %v live", sum, d.Live(now+0.2))
+		servesNeed(t, n, rapid.Float64Range(0.5, 4).Draw(t, "least")/float64(n))
+	})
+}
+
+// TestNeedCase: what the property found once, mended since.
+func TestNeedCase(t *testing.T) { servesNeed(t, 3, 1.75/3) }
+
+func servesNeed(t rapid.TB, n int, least float64) {
+	terms := Standard(n, 1, 0.05)
+	d := NewDealer(terms, 7, 0, 0)
+	served := map[string]int{}
+	now := 10.0
+	for range 24 * n {
+		round := d.Open(now)
+		for k := range n {
+			need := 0.0
+			if k%2 == 0 {
+				need = max(least, 2/float64(n))
 			}
-			now += 0.5
+			d.Pledge(now+0.1, fmt.Sprint(k), 1, Pledge{Fence: d.Fence(), Round: round, Tag: round, Need: need, Least: least, Members: n, Lays: terms.Pledge})
 		}
-		for k := 0; k < n; k += 2 {
-			if least <= 1 && served[fmt.Sprint(k)] == 0 {
-				t.Errorf("member %d with need never got the least that is of use (%v of %d members): %v", k, least, n, served)
+		sum := 0.0
+		for _, to := range d.Deal(now + 0.2) {
+			sum += to.Part
+			if to.Part >= least-1e-6 { // a rounding less is as good
+				served[to.Name]++
 			}
 		}
-	})
+		if sum > 1+1e-9 || d.Live(now+0.2) > 1+1e-9 {
+			t.Fatalf("%v dealt, %v live", sum, d.Live(now+0.2))
+		}
+		now += 0.5
+	}
+	for k := 0; k < n; k += 2 {
+		if least <= 1 && served[fmt.Sprint(k)] == 0 {
+			t.Errorf("member %d with need never got the least that is of use (%v of %d members): %v", k, least, n, served)
+		}
+	}
 }
 
 // TestLapse: when all but one member stop pledging, what that one was dealt of theirs is not renewed past their pledges.
