--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -216,8 +216,10 @@
 
 // write sends what was appended, with no lock held while it does.
 func (c *Conn) write(nc net.Conn) {
-	const patience = 20 * time.Second // above every client timeout: nobody waits for what is stuck longer
-	const spared = 16 << 10           // bytes: a burst must not hold memory for the life of its connection
+	// One that takes nothing for as long is as good as gone, also where clients wait for longer: its answer has failed then,
+	// and it can tell. An engine that is stuck keeps a descriptor for that time.
+	const patience = 20 * time.Second
+	const spared = 16 << 10 // bytes: a burst must not hold memory for the life of its connection
 	var spare []byte
 	for {
 		select {
