--- a/cmd/dunereach/signal_test.go
+++ b/cmd/dunereach/signal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"syscall"
@@ -125,3 +126,36 @@
 		t.Error(err)
 	}
 }
+
+// TestReadySoon: two dozen routers that start at once on a busy machine, with a name server that says nothing, are ready in the
+// time that a restart is given.
+func TestReadySoon(t *testing.T) {
+	mute, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	towns := make([]*town, 24)
+	for k := range towns {
+		w := plan(t, 1, 1024)
+		if err := os.WriteFile(w.config, []byte(strings.Replace(w.text, w.names.Addr, mute.LocalAddr().String(), 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		towns[k] = w
+	}
+	from := time.Now()
+	for _, w := range towns {
+		w.start()
+	}
+	var took []float64
+	for _, w := range towns {
+		if c := standin.NewClient(t, w.addr); !c.Health() {
+			t.Error("not ready")
+		}
+		took = append(took, time.Since(from).Seconds())
+	}
+	t.Logf("the first is ready after %.3f s, the last after %.3f s", took[0], took[len(took)-1])
+	if last := took[len(took)-1]; last > 10 {
+		t.Errorf("the last is ready after %.1f s", last)
+	}
+}
