--- a/cmd/dunereach/profiles_test.go
+++ b/cmd/dunereach/profiles_test.go
@@ -70,3 +70,34 @@
 	second.Answer("served", "count=1", "y\t\t\n")
 	w.expect(b, served(two, "y\t\t\n"))
 }
+
+// TestRepeated: a client's further try, while the first is out or after it failed, is a command of its own with one answer; the
+// same id on another connection fails while the first waits, which goes on, and is free again after it.
+func TestRepeated(t *testing.T) {
+	w := newTown(t, 2)
+	a, b := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
+	call := func(c *standin.Client, ref string) int32 {
+		return c.Call("UPDATE sales_3.x", "service", "order", "project", "acme", "allow", "30000", "ref", strings.Repeat(ref, 16))
+	}
+	one := call(a, "a")
+	first := w.hear("fetch")
+	w.expect(b, fmt.Sprintf(`2/%d call{ 2={ 1=[ ] } }`, call(b, "a")))
+	two := call(b, "b")
+	again := w.hear("fetch")
+	again.Answer("served", "count=1", "2\t\t\n")
+	w.expect(b, served(two, "2\t\t\n"))
+	first.Answer("served", "count=1", "1\t\t\n")
+	w.expect(a, served(one, "1\t\t\n"))
+	three := call(b, "a")
+	w.hear("fetch").Die() // it may have run
+	w.expect(b, fmt.Sprintf(`2/%d call{ 2={ 1=[ ] } }`, three))
+	four := call(b, "a")
+	w.hear("fetch").Answer("served", "count=1", "4\t\t\n")
+	w.expect(b, served(four, "4\t\t\n"))
+	if !a.Health() || !b.Health() { // and nothing more
+		t.Error("not ready")
+	}
+	if len(w.heard) > 0 {
+		t.Errorf("an engine was sent %q", (<-w.heard).Words)
+	}
+}
