Nothing is begun on a connection to an engine whose end has been read: such a command never ran

Seen, forced over real connections: an engine closes an idle connection, its reader has read the end and the owner is yet to take it; a non-replayable command sent in that moment was written, ended Cut and failed, though the engine had closed. Red without the mend: TestClosedIdle 'nothing was sent'. Wrong lines: sockets.Conn.write asked for nothing but bytes, run told only the owner of the end. Ruled out: a reset or refused connection (its context is over before the owner is told, Append takes nothing).

Change: Conn.Whole, for connections to engines: no write is begun once the end has been read; what was appended meanwhile is withdrawn by the owner in one step and goes out again elsewhere. Clients' half-closes are as before (TestEnds). Guards also a further send on a connection that its engine ends. Harm: none known; an engine that half-closed and read on would get nothing, which the protocol does not have. Open: a write that meets a reset before the reader reads it counts as begun.

--- a/internal/router/close_test.go
+++ b/internal/router/close_test.go
@@ -38,8 +38,10 @@
 	profile := brain.Profile{Target: 20, Benefit: 1, Threads: 1}
 	once := profile
 	once.Effect, once.Window = brain.Uniqued, window
-	set := settings.Settings{Profiles: []string{"lookup", "once"}, Open: 99, Longest: 30, ConnectTimeout: 10, Brain: brain.Settings{
-		Routers: 1, Tick: 0.005, KindCores: []float64{8}, Profiles: []brain.Profile{profile, once}}}
+	never := profile
+	never.Effect = brain.NonReplayable
+	set := settings.Settings{Profiles: []string{"lookup", "once", "never"}, Open: 99, Longest: 30, ConnectTimeout: 10, Brain: brain.Settings{
+		Routers: 1, Tick: 0.005, KindCores: []float64{8}, Profiles: []brain.Profile{profile, once, never}}}
 	inbox := make(sockets.Inbox, 256)
 	h := &hall{t: t, heard: make(chan standin.Said, 100), service: &service{Router: New(set, 1<<20, zap.NewNop(), func(uint32) string { return "" }),
 		cfg:   config.Config{Settings: set, Limits: config.Limits{Sockets: descriptors}},
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -112,3 +112,38 @@
 	h.silent()
 	h.expect(c, "2/1 call{ 2={ 1=[ ] } }")
 }
+
+// TestClosedIdle: an engine closes an idle connection in the instant in which a non-replayable command is sent on it. Nothing
+// leaves on a connection whose end has been read, so it has run nowhere and goes out again on another.
+func TestClosedIdle(t *testing.T) {
+	h := newHall(t, 100, 1)
+	h.ready(0)
+	go h.accept(h.listener)
+	c := h.client()
+	h.arrive(<-h.arrivals, false)
+	h.call(c, "a")
+	h.deliver(2)
+	s := <-h.heard
+	s.Answer("served", "count=1", "x\t\t\n")
+	h.deliver(1)
+	c.Next()
+	s.Leave()
+	end := <-h.inbox // read, and its owner yet to know
+	h.ask(c, "never", "b")
+	h.deliver(1)
+	time.Sleep(20 * time.Millisecond) // in which a writer that may write has written
+	h.Deliver(h.clock.now(), end)
+	for sent := false; !sent; {
+		select {
+		case s := <-h.heard:
+			s.Answer("served", "count=1", "y\t\t\n")
+			sent = true
+		case e := <-h.inbox:
+			h.Deliver(h.clock.now(), e)
+		case <-time.After(standin.Patience):
+			t.Fatal("nothing was sent")
+		}
+	}
+	h.deliver(1)
+	h.expect(c, "2/2 call{ 0={ 1=\"y\\t\\t\\n\" 2=[ ] 3=1 } }")
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -480,6 +480,7 @@
 	// A hundred statements; an engine that takes nothing for longer is as good as silent.
 	const limit = 4 << 20
 	line := s.net.New(sink, limit)
+	line.Whole() // an engine that closes its side reads nothing any more
 	line.Dial(addr.String(), time.Duration(s.cfg.Settings.ConnectTimeout*1e9))
 	return line
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -103,6 +103,7 @@
 	ctx   context.Context
 	quit  context.CancelCauseFunc
 	mild  bool        // ends in a lingering close
+	whole bool        // the other side never reads on once it has said its last
 	shut  atomic.Bool // this side has said its last: what still comes is nobody's
 
 	mu      sync.Mutex
@@ -112,6 +113,7 @@
 	begun   int64  // of those, bytes that a write was begun with
 	written int64  // of those, bytes that the system has
 	finish  bool
+	deaf    bool // the other side has closed, and reads nothing: no write is begun
 }
 
 // hole is bytes that were withdrawn, by where they began.
@@ -129,6 +131,9 @@
 	return c
 }
 
+// Whole says, before the connection is there, that the other side's end is the whole connection's: no write is begun after it.
+func (c *Conn) Whole() { c.whole = true }
+
 // Start runs a connection that is up, until it or the context ends. Finish ends it in a lingering close.
 func (c *Conn) Start(nc net.Conn) {
 	c.mild = true
@@ -162,6 +167,9 @@
 	go func() { c.write(nc); close(written) }() // ended below
 	how := c.read(nc, size)
 	if how == Finished && !c.shut.Load() {
+		c.mu.Lock()
+		c.deaf = c.whole
+		c.mu.Unlock()
 		c.net.post(Entry{sink: c.sink, what: isEnd, how: Finished})
 		<-written // by Finish, a write that fails, or the context
 		how = Closed
@@ -229,6 +237,15 @@
 		}
 		for {
 			c.mu.Lock()
+			if c.deaf { // what is appended until the owner knows has not left, and can be withdrawn
+				finish := c.finish
+				c.mu.Unlock()
+				if finish {
+					c.leave(nc)
+					return
+				}
+				break
+			}
 			out, finish := c.out, c.finish
 			c.out, c.begun, c.holes = spare[:0], c.queued, c.holes[:0]
 			begun := c.begun
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -190,6 +190,9 @@
 	s.conn.Close()
 }
 
+// Leave closes the connection, as an engine that holds it for idle.
+func (s Said) Leave() { s.conn.Close() }
+
 // Client is one connection of a client.
 type Client struct {
 	t    T
