--- a/cmd/dunereach/flood_test.go
+++ b/cmd/dunereach/flood_test.go
@@ -31,7 +31,7 @@
 		group.Go(func() {
 			for j := range 200 {
 				once(k, j)
-				time.Sleep(5 * time.Millisecond) // 8,000 calls a second from each of two: far over what usual clients send
+				time.Sleep(5 * time.Millisecond) // under 8,000 calls a second from each of two: far over what usual clients send
 			}
 		})
 	}
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -71,16 +71,21 @@
 	}
 }
 
-// TestRunsOn: what runs when its client closes its side goes on, and a client that still reads has its answer.
-func TestRunsOn(t *testing.T) {
-	h := newHall(t, 100, 1)
+// running has one command at an engine.
+func running(t *testing.T) (h *hall, c *standin.Client, s standin.Said) {
+	h = newHall(t, 100, 1)
 	h.ready(0)
 	go h.accept(h.listener)
-	c := h.client()
+	c = h.client()
 	h.arrive(<-h.arrivals, false)
 	h.call(c, "a")
 	h.deliver(2) // its call, and the engine's connection
-	s := <-h.heard
+	return h, c, <-h.heard
+}
+
+// TestRunsOn: what runs when its client closes its side goes on, and a client that still reads has its answer.
+func TestRunsOn(t *testing.T) {
+	h, c, s := running(t)
 	c.HalfClose()
 	h.deliver(1)
 	s.Answer("served", "count=1", "x\t\t\n")
@@ -116,14 +121,7 @@
 // TestClosedIdle: an engine closes an idle connection in the instant in which a non-replayable command is sent on it. Nothing
 // leaves on a connection whose end has been read, so it has run nowhere and goes out again on another.
 func TestClosedIdle(t *testing.T) {
-	h := newHall(t, 100, 1)
-	h.ready(0)
-	go h.accept(h.listener)
-	c := h.client()
-	h.arrive(<-h.arrivals, false)
-	h.call(c, "a")
-	h.deliver(2)
-	s := <-h.heard
+	h, c, s := running(t)
 	s.Answer("served", "count=1", "x\t\t\n")
 	h.deliver(1)
 	c.Next()
