--- a/Makefile
+++ b/Makefile
@@ -24,12 +24,12 @@
 
 # Ten seconds on each parser; what one finds is written to its testdata and stays a test.
 fuzz:
-	go test ./internal/front -fuzz FuzzFeed -fuzztime 10s
-	go test ./internal/lines -fuzz FuzzFeed -fuzztime 10s
-	go test ./internal/members -fuzz FuzzAnswer -fuzztime 10s
+	go test ./internal/frontend -fuzz FuzzFeed -fuzztime 10s
+	go test ./internal/lineproto -fuzz FuzzFeed -fuzztime 10s
+	go test ./internal/discovery -fuzz FuzzAnswer -fuzztime 10s
 	go test ./internal/statement -fuzz FuzzGroup -fuzztime 10s
-	go test ./record -fuzz FuzzParse -fuzztime 10s
-	go test ./record -fuzz FuzzRestore -fuzztime 10s
+	go test ./fleet/registry -fuzz FuzzParse -fuzztime 10s
+	go test ./fleet/registry -fuzz FuzzRestore -fuzztime 10s
 	go test ./internal/state -fuzz FuzzBody -fuzztime 10s
 
 # A router with stand-ins for all it talks to, for ten seconds.
@@ -38,11 +38,11 @@
 
 # Cost of decisions, and of commands from client to engine and back.
 bench:
-	go test -run XXX -bench . -benchmem ./brain ./cmd/dunereach
+	go test -run XXX -bench . -benchmem ./admission ./cmd/dunereach
 
 # Properties on other cases than the tests': what one finds is printed with the seed that finds it again.
 explore:
-	go test ./budgets ./emulator/engine ./waits -count=1 -rapid.seed=0 -rapid.checks=20000
+	go test ./fairshare ./emulator/engine ./waittime -count=1 -rapid.seed=0 -rapid.checks=20000
 	go run ./cmd/duneshow fleet-explore 5000000 10000 3600
 	go run ./cmd/duneshow zone-days 0 10000
 
--- a/brain/api.go
+++ b/admission/api.go
@@ -1,30 +1,30 @@
-// Package brain decides, for one router, what happens to every command: shed, held, or sent to an engine.
+// Package admission decides, for one router, what happens to every command: shed, held, or sent to an engine.
 //
 // This file is the interface and holds no decision. A host makes one Brain per router with New, calls its
 // methods as things happen, each with the current time, and carries out what comes back through Host. Nothing
 // here knows a wire. Times are seconds on any clock that only advances; ids come back unaltered.
-package brain
+package admission
 
 import (
-	"dunereach/budgets"
-	"dunereach/memory"
-	"dunereach/waits"
+	"dunereach/fairshare"
+	"dunereach/waittime"
+	"dunereach/warmstart"
 )
 
 // Host is what the module asks of its surroundings. Calls are carried out in the order made.
 type Host interface {
-	Send(id, engine uint32, limit, by float64)      // a send that ends by itself after limit, and leaves before by, 0: any time
-	Shed(id uint32, pause float64)                  // final: a retry is harmless, best after pause (0: any time)
-	Fail(id uint32)                                 // final: nothing is promised
-	Cancel(id uint32, send int)                     // stop waiting for that send
-	Withdraw(id uint32, send int)                   // end that send as Moot if nothing of it has left yet
-	Probe(engine uint32)                            // ask an engine how it is; Probed answers
-	Priority(id uint32, level int, grant float64)   // 0 to 3, at once; memory of later sends, 0: engine's choice
-	Wake(after float64, token uint64)               // Woken with that token, not before
-	Tell(peer int, data []byte)                     // a short message to another router, -1 for all
-	Watch(on bool)                                  // follow the list of engines, where it must be asked for
-	Log(text string)                                // a line for the people on call
-	Told(id uint32, k waits.Kind, e waits.Estimate) // how long it will be; before a Shed, until it would be let in
+	Send(id, engine uint32, limit, by float64)            // a send that ends by itself after limit, and leaves before by, 0: any time
+	Shed(id uint32, pause float64)                        // final: a retry is harmless, best after pause (0: any time)
+	Fail(id uint32)                                       // final: nothing is promised
+	Cancel(id uint32, send int)                           // stop waiting for that send
+	Withdraw(id uint32, send int)                         // end that send as Moot if nothing of it has left yet
+	Probe(engine uint32)                                  // ask an engine how it is; Probed answers
+	Priority(id uint32, level int, grant float64)         // 0 to 3, at once; memory of later sends, 0: engine's choice
+	Wake(after float64, token uint64)                     // Woken with that token, not before
+	Tell(peer int, data []byte)                           // a short message to another router, -1 for all
+	Watch(on bool)                                        // follow the list of engines, where it must be asked for
+	Log(text string)                                      // a line for the people on call
+	Told(id uint32, k waittime.Kind, e waittime.Estimate) // how long it will be; before a Shed, until it would be let in
 }
 
 // Effect says what running a command twice does.
@@ -80,13 +80,13 @@
 	KeyRest                                    float64
 	BudgetFree, BudgetShare, BudgetWindow      float64
 
-	Memory *memory.Beliefs // of what an earlier process knew, engines' starts by this one's clock; nil: nothing
+	Memory *warmstart.Beliefs // of what an earlier process knew, engines' starts by this one's clock; nil: nothing
 
-	Fleet  Fleet       // nil: nothing is heard of what other routers agree on
-	Plan   Plan        // nil: zones have a price of the module's own
-	Teams  Teams       // nil: commands are of no team
-	Waits  *waits.Book // nil: no waits are told
-	Ageing float64     // with teams: seconds of work per benefit that a second of waiting makes up for
+	Fleet  Fleet          // nil: nothing is heard of what other routers agree on
+	Plan   Plan           // nil: zones have a price of the module's own
+	Teams  Teams          // nil: commands are of no team
+	Waits  *waittime.Book // nil: no waits are told
+	Ageing float64        // with teams: seconds of work per benefit that a second of waiting makes up for
 }
 
 // Teams decides between the commands of teams that compete: which of the held goes next, who may use the short lane, whose
@@ -105,9 +105,9 @@
 	May(now float64, at int32, team int) bool    // take a place now
 	Lane(team int) bool                          // go past full places with a short command
 	Sent(now float64, at int32, team int, work, threads float64, bends bool)
-	Ended(now float64, at int32, work float64)   // that it took; negative: not known, what was expected stays charged
-	Noted(at int32, share float64, spills bool)  // share done
-	Tick(now, capacity float64) []budgets.Change // levels to change now; core seconds a second of this router's part
+	Ended(now float64, at int32, work float64)     // that it took; negative: not known, what was expected stays charged
+	Noted(at int32, share float64, spills bool)    // share done
+	Tick(now, capacity float64) []fairshare.Change // levels to change now; core seconds a second of this router's part
 }
 
 // Fleet is what this router has heard of work done on behalf of all. Package member has one. Parts are shares of a whole.
--- a/brain/bench_test.go
+++ b/admission/bench_test.go
@@ -1,11 +1,11 @@
-package brain
+package admission
 
 import (
 	"fmt"
 	"testing"
 
-	"dunereach/budgets"
-	"dunereach/waits"
+	"dunereach/fairshare"
+	"dunereach/waittime"
 )
 
 // play is one command after another through a module: taken, admitted, sent, answered.
@@ -63,16 +63,16 @@
 // BenchmarkWaits: with waits told.
 func BenchmarkWaits(b *testing.B) {
 	set := defaults()
-	set.Teams, set.Waits = tree(b, 100), waits.New(len(set.Profiles), 1)
+	set.Teams, set.Waits = tree(b, 100), waittime.New(len(set.Profiles), 1)
 	commands(b, set, 8, func(k int) Command { return Command{Cost: 0.1, Team: k % 100, Mark: uint64(k) + 1} })
 }
 
-func tree(t testing.TB, n int) *budgets.Tree {
-	s := budgets.Spec{Default: "t0", Ageing: 0.1, Turns: true, Changes: 20}
+func tree(t testing.TB, n int) *fairshare.Tree {
+	s := fairshare.Spec{Default: "t0", Ageing: 0.1, Turns: true, Changes: 20}
 	for k := range n {
-		s.Nodes = append(s.Nodes, budgets.Node{Name: fmt.Sprint("t", k), Weight: 1 + float64(k%3)})
+		s.Nodes = append(s.Nodes, fairshare.Node{Name: fmt.Sprint("t", k), Weight: 1 + float64(k%3)})
 	}
-	made, err := budgets.New(s, 0)
+	made, err := fairshare.New(s, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/brain/brain.go
+++ b/admission/brain.go
@@ -1,14 +1,14 @@
 // This file holds every decision of dunereach. A host makes one Brain per router (api.go has the interface)
 // and tells it what happens. A command runs down the chain take, admit, order, place; each stage passes it on,
 // keeps it (in the held line) or ends it; what comes back runs up. Bouncer's rule decides the ordinary path.
-package brain
+package admission
 
 import (
 	"cmp"
 	"fmt"
 	"math"
 
-	"dunereach/failover"
+	"dunereach/fleet/failover"
 )
 
 // Brain is the mind of one router.
--- a/brain/brain_test.go
+++ b/admission/brain_test.go
@@ -1,10 +1,10 @@
-package brain
+package admission
 
 import (
 	"testing"
 
 	"dunereach/internal/script"
-	"dunereach/waits"
+	"dunereach/waittime"
 )
 
 // TestTraces plays every script of testdata and compares what the module does with what is kept there. Equal
@@ -28,25 +28,25 @@
 
 type deafHost struct{ engine uint32 }
 
-func (h *deafHost) Send(_, engine uint32, _, _ float64)     { h.engine = engine }
-func (h *deafHost) Withdraw(uint32, int)                    {}
-func (h *deafHost) Shed(uint32, float64)                    {}
-func (h *deafHost) Fail(uint32)                             {}
-func (h *deafHost) Cancel(uint32, int)                      {}
-func (h *deafHost) Probe(uint32)                            {}
-func (h *deafHost) Priority(uint32, int, float64)           {}
-func (h *deafHost) Wake(float64, uint64)                    {}
-func (h *deafHost) Tell(int, []byte)                        {}
-func (h *deafHost) Watch(bool)                              {}
-func (h *deafHost) Log(string)                              {}
-func (h *deafHost) Told(uint32, waits.Kind, waits.Estimate) {}
+func (h *deafHost) Send(_, engine uint32, _, _ float64)           { h.engine = engine }
+func (h *deafHost) Withdraw(uint32, int)                          {}
+func (h *deafHost) Shed(uint32, float64)                          {}
+func (h *deafHost) Fail(uint32)                                   {}
+func (h *deafHost) Cancel(uint32, int)                            {}
+func (h *deafHost) Probe(uint32)                                  {}
+func (h *deafHost) Priority(uint32, int, float64)                 {}
+func (h *deafHost) Wake(float64, uint64)                          {}
+func (h *deafHost) Tell(int, []byte)                              {}
+func (h *deafHost) Watch(bool)                                    {}
+func (h *deafHost) Log(string)                                    {}
+func (h *deafHost) Told(uint32, waittime.Kind, waittime.Estimate) {}
 
 // TestOrdinaryPathAllocatesNothing plays commands that are taken, admitted, sent and answered, also with teams and waits.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	for _, on := range []bool{false, true} {
 		set := defaults()
 		if on {
-			set.Teams, set.Waits = tree(t, 10), waits.New(len(set.Profiles), 1)
+			set.Teams, set.Waits = tree(t, 10), waittime.New(len(set.Profiles), 1)
 		}
 		allocatesNothing(t, set)
 	}
--- a/brain/chain.go
+++ b/admission/chain.go
@@ -1,4 +1,4 @@
-package brain
+package admission
 
 // This file walks the chain and decides nothing; the stages and their order stand in brain.go.
 
--- a/brain/fleet.go
+++ b/admission/fleet.go
@@ -1,6 +1,6 @@
-package brain
+package admission
 
-import "dunereach/failover"
+import "dunereach/fleet/failover"
 
 // This file asks the fleet for what it has heard and tells it what there is use for. It decides nothing; without a fleet it
 // does nothing.
--- a/brain/helper_test.go
+++ b/admission/helper_test.go
@@ -1,4 +1,4 @@
-package brain
+package admission
 
 import (
 	"encoding/json"
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"dunereach/budgets"
-	"dunereach/waits"
+	"dunereach/fairshare"
+	"dunereach/waittime"
 )
 
 // theatre plays a script against one Brain and prints what it does. A script's lines are settings (JSON over
@@ -65,7 +65,7 @@
 }
 func (s *theatre) Tell(peer int, data []byte) { s.say("tell %d: %x", peer, data) }
 func (s *theatre) Watch(on bool)              { s.say("watch %v", on) }
-func (s *theatre) Told(id uint32, k waits.Kind, e waits.Estimate) {
+func (s *theatre) Told(id uint32, k waittime.Kind, e waittime.Estimate) {
 	s.say("told %d: %s %.2f, %.2f", id, k, e.P50, e.P90)
 }
 func (s *theatre) Log(text string) { s.say("log %s", text) }
@@ -112,15 +112,15 @@
 		if text, ok := strings.CutPrefix(line, "settings "); ok {
 			s.must(json.Unmarshal([]byte(text), &set), line)
 		} else if text, ok := strings.CutPrefix(line, "teams "); ok { // a spec; teams are numbered as they stand there
-			var spec budgets.Spec
+			var spec fairshare.Spec
 			s.must(json.Unmarshal([]byte(text), &spec), line)
-			tree, err := budgets.New(spec, 0)
+			tree, err := fairshare.New(spec, 0)
 			s.must(err, line)
 			set.Teams, set.Ageing = tree, spec.Ageing
 		} else if line == "withdrawals" {
 			s.withdrawn = true
 		} else if line == "waits" {
-			set.Waits = waits.New(len(set.Profiles), set.MaxPause)
+			set.Waits = waittime.New(len(set.Profiles), set.MaxPause)
 		} else if line != "" && !strings.HasPrefix(line, "#") {
 			var at float64
 			var what string
--- a/brain/histogram.go
+++ b/admission/histogram.go
@@ -1,4 +1,4 @@
-package brain
+package admission
 
 import "math"
 
--- a/brain/memory.go
+++ b/admission/memory.go
@@ -1,11 +1,11 @@
-package brain
+package admission
 
 import (
 	"encoding/binary"
 	"hash/fnv"
 	"math"
 
-	"dunereach/memory"
+	"dunereach/warmstart"
 )
 
 // This file gives what the module has learned to a process that comes after it, and takes what an earlier one knew. It decides
@@ -44,16 +44,16 @@
 }
 
 // Knows is what this process knows now. Engines' starts are by the module's clock: the caller moves them to one that lasts.
-func (b *Brain) Knows() (k memory.Known) {
+func (b *Brain) Knows() (k warmstart.Known) {
 	prints := Fingerprints(b.set.Profiles)
 	for n := range b.prof {
 		p := &b.prof[n]
-		t := memory.Times{Sum: p.read.sum, Counts: append([]float64(nil), p.read.counts...)}
-		k.Profiles = append(k.Profiles, memory.Profile{Settings: prints[n], Work: p.work, Seen: p.seen, Hinted: p.hinted, Worked: p.worked, Slow: p.slow, Times: t})
+		t := warmstart.Times{Sum: p.read.sum, Counts: append([]float64(nil), p.read.counts...)}
+		k.Profiles = append(k.Profiles, warmstart.Profile{Settings: prints[n], Work: p.work, Seen: p.seen, Hinted: p.hinted, Worked: p.worked, Slow: p.slow, Times: t})
 	}
 	for n := range b.engines {
 		if e := &b.engines[n]; e.State == Ready && (e.ill || b.slowOf(e) > 1.05) {
-			k.Engines = append(k.Engines, memory.Engine{ID: e.Engine, Start: e.ReadyAt, Slow: b.slowOf(e), Fails: e.fails, Ill: e.ill, Pause: e.pause})
+			k.Engines = append(k.Engines, warmstart.Engine{ID: e.Engine, Start: e.ReadyAt, Slow: b.slowOf(e), Fails: e.fails, Ill: e.ill, Pause: e.pause})
 		}
 	}
 	rates := b.set.Rates()
@@ -62,7 +62,7 @@
 		if math.IsInf(left, 0) || left > 1e9 {
 			left = 1e9 // never asked for: a full bucket
 		}
-		k.Tenants = append(k.Tenants, memory.Tenant{Left: left, Rate: rates[n]})
+		k.Tenants = append(k.Tenants, warmstart.Tenant{Left: left, Rate: rates[n]})
 	}
 	if k.Pace, k.Asked, k.Span = b.pace, b.asked, b.span; !math.IsInf(b.cut, 1) {
 		k.Cut = b.cut
--- a/brain/memory_test.go
+++ b/admission/memory_test.go
@@ -1,9 +1,9 @@
-package brain
+package admission
 
 import (
 	"testing"
 
-	"dunereach/memory"
+	"dunereach/warmstart"
 )
 
 // TestRecall: trouble is believed of the start that had it, and of no other; what was learned comes back as it was.
@@ -21,7 +21,7 @@
 	if len(k.Engines) != 1 || k.Engines[0].ID != 1 || k.Profiles[0].Seen != 30 || k.Tenants[0].Left != -5 {
 		t.Fatalf("it knows %+v", k)
 	}
-	beliefs := memory.Believe(k, 2, true, Fingerprints(set.Profiles), set.Rates())
+	beliefs := warmstart.Believe(k, 2, true, Fingerprints(set.Profiles), set.Rates())
 	set.Memory = &beliefs
 	for _, c := range []struct {
 		start float64
--- a/brain/pcg.go
+++ b/admission/pcg.go
@@ -1,4 +1,4 @@
-package brain
+package admission
 
 // pcg is the permuted congruential generator PCG-XSH-RR 64/32 (O'Neill, 2014).
 type pcg struct{ state uint64 }
--- a/brain/teams.go
+++ b/admission/teams.go
@@ -1,4 +1,4 @@
-package brain
+package admission
 
 // This file tells the teams what is held, sent and ended and carries out what they decide. It decides nothing; without
 // teams it does nothing but keep the held line.
--- a/brain/waits.go
+++ b/admission/waits.go
@@ -1,6 +1,6 @@
-package brain
+package admission
 
-import "dunereach/waits"
+import "dunereach/waittime"
 
 // This file tells the book of waits what the module expects and what came of it. Without a book it does nothing but name
 // the fixed pause. Its decisions are the book's, and the arrival estimate's (brain.go).
@@ -9,7 +9,7 @@
 type ghost struct {
 	record
 	since, base float64
-	told        waits.Estimate
+	told        waittime.Estimate
 }
 
 const (
@@ -25,17 +25,17 @@
 		return b.set.MaxPause / 2 // half of what clients honour: most do, and the rest spreads them
 	}
 	if b.now > r.took { // given up in the line: what it would wait for now is the honest answer, and it is no ghost
-		start := w.Tell(waits.Start, r.Team, r.Profile, b.waitOf(r)+b.ownPlaces(r, p))
-		b.host.Told(r.ID, waits.Return, start)
-		return min(max(start.P50, waits.Soonest), b.set.MaxPause)
+		start := w.Tell(waittime.Start, r.Team, r.Profile, b.waitOf(r)+b.ownPlaces(r, p))
+		b.host.Told(r.ID, waittime.Return, start)
+		return min(max(start.P50, waittime.Soonest), b.set.MaxPause)
 	}
 	base, part := b.backIn(r, p), 1.0
 	if b.set.Teams != nil {
 		part = b.set.Teams.Due(r.Team)
 	}
-	alone := w.Tell(waits.Return, r.Team, r.Profile, base)
+	alone := w.Tell(waittime.Return, r.Team, r.Profile, base)
 	pause, e := w.Refuse(b.now, r.Mark, r.Team, r.Profile, base, r.cost*b.pace/max(b.places(&b.all), 1), part)
-	b.host.Told(r.ID, waits.Return, e)
+	b.host.Told(r.ID, waittime.Return, e)
 	if b.refused++; b.refused%everyGhost == 0 && len(b.ghosts) < mostGhosts {
 		b.ghosts = append(b.ghosts, ghost{*r, b.now, base, alone})
 	}
@@ -90,8 +90,8 @@
 	r.promised = true
 	base := b.waitOf(r) + b.ownPlaces(r, p)
 	start, answer := b.set.Waits.Promise(b.now, i, r.Team, r.Profile, base, b.runs(p))
-	b.host.Told(r.ID, waits.Start, start)
-	b.host.Told(r.ID, waits.Answer, answer)
+	b.host.Told(r.ID, waittime.Start, start)
+	b.host.Told(r.ID, waittime.Answer, answer)
 }
 
 // ownPlaces is how long the places of a command take to come free behind all that leaves before it: so many of those in
@@ -100,8 +100,8 @@
 	return float64(p.Threads) * max(b.stay, r.best) / max(b.places(&b.all), 1)
 }
 
-func (b *Brain) runs(p *profile) waits.Estimate {
-	return waits.Estimate{P50: p.read.quantile(0.5), P90: p.read.quantile(0.9)}
+func (b *Brain) runs(p *profile) waittime.Estimate {
+	return waittime.Estimate{P50: p.read.quantile(0.5), P90: p.read.quantile(0.9)}
 }
 
 // leaves tells that a command is sent: its wait is over, or there was none.
@@ -111,12 +111,12 @@
 		return
 	}
 	if r.promised {
-		w.Came(b.now, i, waits.Start)
+		w.Came(b.now, i, waittime.Start)
 		return
 	}
 	r.promised = true
 	_, answer := w.Promise(b.now, i, r.Team, r.Profile, -1, b.runs(p))
-	b.host.Told(r.ID, waits.Answer, answer)
+	b.host.Told(r.ID, waittime.Answer, answer)
 }
 
 // came tells that a command's client has its answer.
@@ -127,5 +127,5 @@
 	if o.End == Answered {
 		b.stay += 0.02 * (o.Lag - b.stay) // over some fifty
 	}
-	b.set.Waits.Came(b.now, i, waits.Answer)
+	b.set.Waits.Came(b.now, i, waittime.Answer)
 }
--- a/cmd/dunefleet/main.go
+++ b/cmd/dunefleet/main.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"os"
 
-	"dunereach/internal/command"
+	"dunereach/internal/agentdriver"
+	"dunereach/internal/cli"
 	"dunereach/internal/config"
-	"dunereach/internal/fleet"
 	"dunereach/internal/operator"
 	"dunereach/internal/router"
 	"dunereach/internal/state"
@@ -17,12 +17,12 @@
 )
 
 func main() {
-	with := command.With{Words: fleet.Words(), Fleet: func(c config.Config, log *zap.Logger) (router.Fleet, error) { return fleet.New(c, log) },
+	with := cli.With{Words: agentdriver.Words(), Fleet: func(c config.Config, log *zap.Logger) (router.Fleet, error) { return agentdriver.New(c, log) },
 		State: func(set operator.State, name string, log *zap.Logger) router.State { return state.New(set, name, log) }}
-	if err := command.Run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr, with); err != nil {
-		if !command.Said(err) {
+	if err := cli.Run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr, with); err != nil {
+		if !cli.Said(err) {
 			fmt.Fprintln(os.Stderr, "dunereach:", err)
 		}
-		os.Exit(command.Status(err))
+		os.Exit(cli.Status(err))
 	}
 }
--- a/cmd/dunekeep/main.go
+++ b/cmd/dunekeep/main.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"dunereach/internal/keeper"
+	"dunereach/internal/coordserver"
 	"dunereach/internal/logs"
 
 	"github.com/spf13/cobra"
@@ -33,13 +33,13 @@
 for all (docs/fleet.md). Its folder is its memory: it must not be copied, shared or put back from a backup.`}
 	var name, keepers, token, listen, zone, ask string
 	var lease, drift float64
-	var options keeper.Options
+	var options coordserver.Options
 	begin := &cobra.Command{Use: "init FOLDER", Short: "Make the folder of one keeper of a new record", Args: cobra.ExactArgs(1),
 		Long: `Init begins a record. Run it once for each keeper, with the same --keepers; the first prints the record's token, which the
 others are given by --record. All of them have to run before the record begins.`,
 		Example: `  dunekeep init /var/lib/dunekeep --name k1 --keepers k1=10.0.0.1:7001@east,k2=10.0.0.2:7001@east,k3=10.0.1.1:7001@west`,
 		RunE: func(c *cobra.Command, args []string) error {
-			id, err := keeper.Init(args[0], name, keepers, token, lease, drift)
+			id, err := coordserver.Init(args[0], name, keepers, token, lease, drift)
 			if err == nil {
 				_, err = fmt.Fprintln(c.OutOrStdout(), id.Token)
 			}
@@ -59,7 +59,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(c.Context(), 20*time.Second)
 			defer cancel()
-			id, err := keeper.Join(ctx, args[0], name, listen, zone, ask)
+			id, err := coordserver.Join(ctx, args[0], name, listen, zone, ask)
 			if err == nil {
 				_, err = fmt.Fprintf(c.OutOrStdout(), "keeper %d of record %s\n", id.ID, id.Token)
 			}
@@ -82,7 +82,7 @@
 				writer.Run(ctx, os.Stderr)
 				return nil
 			})
-			err := keeper.Serve(c.Context(), args[0], options, logs.New(writer))
+			err := coordserver.Serve(c.Context(), args[0], options, logs.New(writer))
 			done()
 			return errors.Join(err, group.Wait())
 		}}
--- a/cmd/dunereach/flood_test.go
+++ b/cmd/dunereach/flood_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"dunereach/internal/standin"
+	"dunereach/internal/fake"
 )
 
 // TestFloods: clients that send much at once and go, that send a byte at a time, that never read, and that say nothing don't hold
@@ -36,15 +36,15 @@
 		})
 	}
 	flood(1, func(k, j int) { // much at once, and gone
-		c := standin.NewClient(t, w.addr)
+		c := fake.NewClient(t, w.addr)
 		for n := range 40 {
 			c.Call("SELECT 1", fields(ref(k, 100*j+n))...)
 		}
 		c.Leave()
 	})
-	flood(2, func(k, j int) { standin.NewClient(t, w.addr).Raw([]byte{0}) }) // half a message
-	dripping, deaf := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
-	message := standin.Call(1, "SELECT 1", fields(ref(3, 0))...)
+	flood(2, func(k, j int) { fake.NewClient(t, w.addr).Raw([]byte{0}) }) // half a message
+	dripping, deaf := fake.NewClient(t, w.addr), fake.NewClient(t, w.addr)
+	message := fake.Call(1, "SELECT 1", fields(ref(3, 0))...)
 	flood(3, func(_, j int) { dripping.Raw(message[j%len(message):][:1]) })
 	flood(4, func(k, j int) {
 		for n := range 40 {
@@ -53,7 +53,7 @@
 	})
 	over := make(chan struct{})
 	go func() { group.Wait(); close(over) }()
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	var took []time.Duration
 	served := 0
 	for floods, j := true, 0; floods; j++ {
--- a/cmd/dunereach/list_test.go
+++ b/cmd/dunereach/list_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"dunereach/internal/standin"
+	"dunereach/internal/fake"
 )
 
 // TestFlowLost: where nothing that is sent from the router's socket is answered any more, the list is heard of on another, well
@@ -20,7 +20,7 @@
 	if took := time.Since(from); took > 3*time.Second {
 		t.Errorf("it took %v", took)
 	}
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	for range 9 {
 		if s := w.serve(c, "lookup"); s.Engine != w.engines[0] {
 			t.Error("a draining engine was sent something")
--- a/cmd/dunereach/main.go
+++ b/cmd/dunereach/main.go
@@ -5,14 +5,14 @@
 	"fmt"
 	"os"
 
-	"dunereach/internal/command"
+	"dunereach/internal/cli"
 )
 
 func main() {
-	if err := command.Run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr, command.With{}); err != nil {
-		if !command.Said(err) {
+	if err := cli.Run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr, cli.With{}); err != nil {
+		if !cli.Said(err) {
 			fmt.Fprintln(os.Stderr, "dunereach:", err)
 		}
-		os.Exit(command.Status(err))
+		os.Exit(cli.Status(err))
 	}
 }
--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"dunereach/internal/members"
+	"dunereach/internal/discovery"
+	"dunereach/internal/fake"
 	"dunereach/internal/script"
-	"dunereach/internal/standin"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -89,9 +89,9 @@
 	addr     string
 	config   string
 	operator string // the operators' file, "": none
-	names    *standin.NameServer
-	engines  []*standin.Engine
-	heard    chan standin.Said
+	names    *fake.NameServer
+	engines  []*fake.Engine
+	heard    chan fake.Said
 	text     string // of the configuration
 	cmd      *exec.Cmd
 	log      chan string
@@ -109,12 +109,12 @@
 
 // plan is one whose router is yet to start.
 func plan(t testing.TB, engines, descriptors int) *town {
-	w := &town{t: t, names: standin.NewNameServer(t, members.Record), heard: make(chan standin.Said, 1000)}
+	w := &town{t: t, names: fake.NewNameServer(t, discovery.Record), heard: make(chan fake.Said, 1000)}
 	// An address that is this router's own: a port that was free on a shared one may be an engine's by the time.
 	w.addr = fmt.Sprintf("127.%d.%d.%d:4100", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
 	var targets []string
 	for k := range engines {
-		w.engines = append(w.engines, standin.NewEngine(t, w.heard))
+		w.engines = append(w.engines, fake.NewEngine(t, w.heard))
 		targets = append(targets, fmt.Sprintf(`{"uid":"s-%d","endpoint":"%s","az":"east","model":"std","state":"ready"}`,
 			k, w.engines[k].Addr))
 	}
@@ -174,7 +174,7 @@
 // logged waits for a line of the log.
 func (w *town) logged(part string) {
 	w.t.Helper()
-	late := time.After(standin.Patience)
+	late := time.After(fake.Patience)
 	for {
 		select {
 		case line, ok := <-w.log:
@@ -191,7 +191,7 @@
 }
 
 // hear waits for the next thing said to an engine, which must start with a word.
-func (w *town) hear(word string) standin.Said {
+func (w *town) hear(word string) fake.Said {
 	w.t.Helper()
 	select {
 	case s := <-w.heard:
@@ -199,24 +199,24 @@
 			w.t.Fatalf("an engine was sent %q, want a %s", s.Words, word)
 		}
 		return s
-	case <-time.After(standin.Patience):
+	case <-time.After(fake.Patience):
 		w.cmd.Process.Kill()
 		for line := range w.log {
 			w.t.Log(line)
 		}
 		w.t.Fatalf("no engine was sent a %s", word)
 	}
-	return standin.Said{}
+	return fake.Said{}
 }
 
 // call asks for a statement to be run, allowing some milliseconds.
-func (w *town) call(c *standin.Client, profile string, allow int, statement string) int32 {
+func (w *town) call(c *fake.Client, profile string, allow int, statement string) int32 {
 	w.refs++
 	return c.Call(statement, "service", profile, "project", "acme", "allow", fmt.Sprint(allow), "ref", fmt.Sprintf("%016x", w.refs))
 }
 
 // serve has an engine run a command and checks that the client has the result.
-func (w *town) serve(c *standin.Client, profile string) standin.Said {
+func (w *town) serve(c *fake.Client, profile string) fake.Said {
 	w.t.Helper()
 	seq := w.call(c, profile, 30000, "SELECT 1")
 	s := w.hear("fetch")
@@ -225,7 +225,7 @@
 	return s
 }
 
-func (w *town) expect(c *standin.Client, want string) {
+func (w *town) expect(c *fake.Client, want string) {
 	w.t.Helper()
 	if diff := cmp.Diff(want, c.Next()); diff != "" {
 		w.t.Fatalf("the client got (-want +got):\n%s", diff)
@@ -248,7 +248,7 @@
 
 func TestServed(t *testing.T) {
 	w := newTown(t, 1)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	if !c.Health() {
 		t.Fatal("not ready")
 	}
@@ -274,7 +274,7 @@
 // come back; what is answered too late goes nowhere.
 func TestSilentEngine(t *testing.T) {
 	w := newTown(t, 1)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	seq := w.call(c, "lookup", 300, "SELECT 1")
 	late := w.hear("fetch")
 	w.expect(c, fmt.Sprintf(`2/%d call{ 1={ 1=[ cooldown=250 ] } }`, seq))
@@ -287,7 +287,7 @@
 // lost result goes to the client.
 func TestFailed(t *testing.T) {
 	w := newTown(t, 2)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	seq := w.call(c, "order", 30000, "UPDATE sales_3.x")
 	w.hear("fetch").Die()
 	w.expect(c, fmt.Sprintf(`2/%d call{ 2={ 1=[ ] } }`, seq))
@@ -307,8 +307,8 @@
 // the command goes elsewhere. A second copy of a good answer costs nothing.
 func TestSpoilt(t *testing.T) {
 	w := newTown(t, 2)
-	c := standin.NewClient(t, w.addr)
-	var open []standin.Said
+	c := fake.NewClient(t, w.addr)
+	var open []fake.Said
 	var seqs []int32
 	for range 4 {
 		seqs = append(seqs, w.call(c, "lookup", 30000, "SELECT 1"))
@@ -319,7 +319,7 @@
 	if again.Words[1] != open[0].Words[1] || again.Engine == open[0].Engine {
 		t.Errorf("again %q at the same engine", again.Words)
 	}
-	for k, s := range append([]standin.Said{again}, open[1:]...) {
+	for k, s := range append([]fake.Said{again}, open[1:]...) {
 		s.Answer("served", "count=1", "x\t\t\n")
 		s.Answer("served", "count=1", "y\t\t\n")
 		w.expect(c, served(seqs[k], "x\t\t\n"))
@@ -331,7 +331,7 @@
 func TestRefused(t *testing.T) {
 	w := newTown(t, 2)
 	w.engines[0].Close()
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	for range 6 {
 		if s := w.serve(c, "order"); s.Engine != w.engines[1] {
 			t.Error("an engine that is not there was sent something")
@@ -342,7 +342,7 @@
 // TestDrain: once told that an engine drains it gets nothing new; what runs there still ends.
 func TestDrain(t *testing.T) {
 	w := newTown(t, 2)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	entry := func(k, priority int) string {
 		return fmt.Sprintf("s-%d.east %d 10 std 0 0 %s", k, priority, w.engines[k].Addr)
 	}
@@ -366,7 +366,7 @@
 // TestClients: one that cancels is owed nothing; one that can't be read loses its connection alone.
 func TestClients(t *testing.T) {
 	w := newTown(t, 1)
-	c, bad := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
+	c, bad := fake.NewClient(t, w.addr), fake.NewClient(t, w.addr)
 	given := w.call(c, "lookup", 30000, "SELECT 1")
 	runs := w.hear("fetch") // a cancel that came before it had left would take it back
 	c.Cancel(given)
@@ -387,17 +387,17 @@
 // keeps its place.
 func TestCrowd(t *testing.T) {
 	w := newTownOf(t, 1, 48) // 24 of them for clients
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	seq := w.call(c, "lookup", 30000, "SELECT 1")
 	open := w.hear("fetch")
-	var crowd []*standin.Client
+	var crowd []*fake.Client
 	for k := range 60 {
-		crowd = append(crowd, standin.NewClient(t, w.addr))
+		crowd = append(crowd, fake.NewClient(t, w.addr))
 		if k%2 == 0 {
 			crowd[k].Raw([]byte{0, 0, 0, 50, 0x80})
 		}
 	}
-	w.serve(standin.NewClient(t, w.addr), "lookup")
+	w.serve(fake.NewClient(t, w.addr), "lookup")
 	for _, c := range crowd {
 		if got := c.Next(); got != "closed" && !strings.Contains(got, "reset") {
 			t.Errorf("one that says nothing got %q", got)
@@ -411,7 +411,7 @@
 // and address begins from nothing.
 func TestEnd(t *testing.T) {
 	w := newTown(t, 1)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	one := w.call(c, "lookup", 30000, "SELECT 1")
 	first := w.hear("fetch")
 	w.cmd.Process.Signal(syscall.SIGTERM)
@@ -426,7 +426,7 @@
 	w.ended(0)
 
 	w.start()
-	c = standin.NewClient(t, w.addr)
+	c = fake.NewClient(t, w.addr)
 	if !c.Health() {
 		t.Error("not ready after a new start")
 	}
@@ -437,7 +437,7 @@
 // is the new one at once; what the old one says counts no more. A file that can't be read changes nothing.
 func TestReload(t *testing.T) {
 	w := newTown(t, 2)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	seq := w.call(c, "lookup", 30000, "SELECT 1")
 	open := w.hear("fetch")
 	good, err := os.ReadFile(w.config)
@@ -451,7 +451,7 @@
 		w.logged(log)
 	}
 	reload(string(good[:len(good)/2]), "new configuration not taken")
-	names := standin.NewNameServer(t, members.Record)
+	names := fake.NewNameServer(t, discovery.Record)
 	other := strings.Replace(string(good), w.names.Addr, names.Addr, 1)
 	reload(strings.Replace(other, "192", "96", 1), `"kept until a restart":["limits"]`)
 	w.names.Set(9)
@@ -512,7 +512,7 @@
 	w.operators(`{"teams":[{"name":"a","weight":1,"tenants":["acme"]},{"name":"b","weight":1}],
 		"budgets":{"default":"a","by_call":true},"waits":{"fields":true}}`)
 	w.start()
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	if w.logged("serving"); !c.Health() {
 		t.Fatal("not ready")
 	}
@@ -561,7 +561,7 @@
 	const clients = 32
 	var group sync.WaitGroup
 	for k := range clients {
-		c := standin.NewClient(b, w.addr)
+		c := fake.NewClient(b, w.addr)
 		group.Go(func() {
 			for n := k; n < b.N; n += clients {
 				c.Call("select 1", "service", "lookup", "project", "acme", "allow", "20000", "ref", fmt.Sprintf("%016x", n+1))
--- a/cmd/dunereach/profiles_test.go
+++ b/cmd/dunereach/profiles_test.go
@@ -5,14 +5,14 @@
 	"strings"
 	"testing"
 
-	"dunereach/internal/standin"
+	"dunereach/internal/fake"
 )
 
 // TestToken: what a client sends for a repeat to be known by goes on to engines with each send, unchanged; one that could
 // not stand there is refused.
 func TestToken(t *testing.T) {
 	w := newTown(t, 2)
-	c := standin.NewClient(t, w.addr)
+	c := fake.NewClient(t, w.addr)
 	call := func(token string) int32 {
 		w.refs++
 		return c.Call("SELECT 1", "service", "lookup", "project", "acme", "allow", "30000", "ref", fmt.Sprintf("%016x", w.refs), "replay", token)
@@ -21,7 +21,7 @@
 	first := w.hear("fetch")
 	first.Die()
 	again := w.hear("fetch")
-	for _, s := range []standin.Said{first, again} {
+	for _, s := range []fake.Said{first, again} {
 		if !strings.HasSuffix(s.Words[2], ",token=f67149c9:8847") {
 			t.Errorf("an engine was sent %q", s.Words)
 		}
@@ -43,8 +43,8 @@
 // connections they came on; those with another key, with none, or of another profile don't wait for them.
 func TestOrdered(t *testing.T) {
 	w := newTown(t, 2)
-	a, b := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
-	call := func(c *standin.Client, profile, statement string, key ...string) int32 {
+	a, b := fake.NewClient(t, w.addr), fake.NewClient(t, w.addr)
+	call := func(c *fake.Client, profile, statement string, key ...string) int32 {
 		w.refs++
 		return c.Call(statement, append([]string{"service", profile, "project", "acme", "allow", "30000", "ref",
 			fmt.Sprintf("%016x", w.refs)}, key...)...)
@@ -75,8 +75,8 @@
 // same id on another connection fails while the first waits, which goes on, and is free again after it.
 func TestRepeated(t *testing.T) {
 	w := newTown(t, 2)
-	a, b := standin.NewClient(t, w.addr), standin.NewClient(t, w.addr)
-	call := func(c *standin.Client, ref string) int32 {
+	a, b := fake.NewClient(t, w.addr), fake.NewClient(t, w.addr)
+	call := func(c *fake.Client, ref string) int32 {
 		return c.Call("UPDATE sales_3.x", "service", "order", "project", "acme", "allow", "30000", "ref", strings.Repeat(ref, 16))
 	}
 	one := call(a, "a")
--- a/cmd/dunereach/signal_test.go
+++ b/cmd/dunereach/signal_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"dunereach/internal/standin"
+	"dunereach/internal/fake"
 )
 
 // TestHalfWritten: a configuration that is half written when the signal comes is taken once it is whole, without another.
@@ -77,7 +77,7 @@
 		full = err != nil
 	}
 	syscall.SetNonblock(fd, false)
-	if c := standin.NewClient(t, w.addr); !c.Health() {
+	if c := fake.NewClient(t, w.addr); !c.Health() {
 		t.Fatal("not ready")
 	}
 	cmd.Process.Signal(syscall.SIGTERM)
@@ -88,7 +88,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-	case <-time.After(standin.Patience):
+	case <-time.After(fake.Patience):
 		t.Error("it does not end")
 	}
 }
@@ -114,11 +114,11 @@
 	r.Close()
 	cmd.Process.Signal(syscall.SIGHUP) // which it says in its log
 	for range 3 {
-		bad := standin.NewClient(t, w.addr) // and this
+		bad := fake.NewClient(t, w.addr) // and this
 		bad.Raw([]byte("GET / HTTP/1.0\r\n\r\n"))
 		bad.Next()
 	}
-	if c := standin.NewClient(t, w.addr); !c.Health() {
+	if c := fake.NewClient(t, w.addr); !c.Health() {
 		t.Error("not ready")
 	}
 	cmd.Process.Signal(syscall.SIGTERM)
@@ -149,7 +149,7 @@
 	}
 	var took []float64
 	for _, w := range towns {
-		if c := standin.NewClient(t, w.addr); !c.Health() {
+		if c := fake.NewClient(t, w.addr); !c.Health() {
 			t.Error("not ready")
 		}
 		took = append(took, time.Since(from).Seconds())
--- a/cmd/duneshow/main.go
+++ b/cmd/duneshow/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"dunereach/internal/show"
+	"dunereach/internal/measure"
 
 	"github.com/spf13/cobra"
 )
@@ -16,14 +16,14 @@
 func main() {
 	root := &cobra.Command{Use: "duneshow", Short: "Measure one subsystem and say whether it holds", SilenceUsage: true,
 		SilenceErrors: true}
-	for _, s := range show.All {
+	for _, s := range measure.All {
 		root.AddCommand(&cobra.Command{Use: s.Name, Short: s.About, Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error {
 				rows, err := s.Run()
 				if err != nil {
 					return err
 				}
-				if !show.Print(os.Stdout, rows) {
+				if !measure.Print(os.Stdout, rows) {
 					return errShort
 				}
 				return nil
@@ -36,7 +36,7 @@
 			if _, err := fmt.Sscan(args[0]+" "+args[1]+" "+args[2], &from, &count, &seconds); err != nil {
 				return err
 			}
-			out, err := show.SaySeeds(from, count, seconds)
+			out, err := measure.SaySeeds(from, count, seconds)
 			if err == nil {
 				_, err = fmt.Printf("%s\n", out)
 			}
@@ -49,21 +49,21 @@
 			if _, err := fmt.Sscan(args[0]+" "+args[1]+" "+args[2], &from, &count, &seconds); err != nil {
 				return err
 			}
-			rows, err := show.Explore(from, count, seconds)
-			if err == nil && !show.Print(os.Stdout, rows) {
+			rows, err := measure.Explore(from, count, seconds)
+			if err == nil && !measure.Print(os.Stdout, rows) {
 				err = errShort
 			}
 			return err
 		}})
 	root.AddCommand(&cobra.Command{Use: "state-writer DIR", Short: "Write to a folder until it is killed (a part of state)", Args: cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error { return show.WriteState(args[0]) }})
+		RunE: func(_ *cobra.Command, args []string) error { return measure.WriteState(args[0]) }})
 	root.AddCommand(&cobra.Command{Use: "state-late with|without SECONDS", Short: "Print how late an owner's timers are at p99 (a part of state)", Args: cobra.ExactArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
 			var seconds float64
 			if _, err := fmt.Sscan(args[1], &seconds); err != nil {
 				return err
 			}
-			p99, err := show.Late(args[0] == "with", seconds)
+			p99, err := measure.Late(args[0] == "with", seconds)
 			if err == nil {
 				_, err = fmt.Println(p99)
 			}
@@ -75,7 +75,7 @@
 			if _, err := fmt.Sscan(args[0]+" "+args[1], &from, &count); err != nil {
 				return err
 			}
-			broken, planned, real, plans, err := show.DrawnDays(from, count)
+			broken, planned, real, plans, err := measure.DrawnDays(from, count)
 			if err != nil {
 				return err
 			}
@@ -90,7 +90,7 @@
 		}})
 	root.AddCommand(&cobra.Command{Use: "zone-charts FOLDER", Short: "Write time lines of three days of zones as pictures", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			tables, err := show.Charts(args[0])
+			tables, err := measure.Charts(args[0])
 			if err == nil {
 				fmt.Println(tables)
 			}
@@ -102,7 +102,7 @@
 			if _, err := fmt.Sscan(args[0], &minutes); err != nil {
 				return err
 			}
-			return show.Soak(os.Stdout, minutes)
+			return measure.Soak(os.Stdout, minutes)
 		}})
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "duneshow:", err)
--- a/emulator/town/host.go
+++ b/emulator/cluster/host.go
@@ -1,11 +1,11 @@
-package town
+package cluster
 
 // This file is what a module asks of its surroundings: a router's sends, answers and wakes in the town.
 
 import (
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/emulator/engine"
-	"dunereach/waits"
+	"dunereach/waittime"
 )
 
 func (r *router) Send(id, to uint32, after, _ float64) {
@@ -35,15 +35,15 @@
 	f.run = t.lastRun
 	q := engine.Query{ID: t.lastRun, Work: try.Work, Threads: float64(p.Threads), Memory: s.Memory, Level: f.level}
 	switch {
-	case house.state == brain.Gone:
-		e.at, e.end = t.now+trip, brain.Unreachable
+	case house.state == admission.Gone:
+		e.at, e.end = t.now+trip, admission.Unreachable
 	case house.errs > 0 && t.luck.Float64() < house.errs:
-		e.at, e.end = t.now+trip, brain.Errored
+		e.at, e.end = t.now+trip, admission.Errored
 	case !house.Submit(t.now, q):
-		e.at, e.end = t.now+trip, brain.TurnedAway
+		e.at, e.end = t.now+trip, admission.TurnedAway
 	default:
 		t.running[t.lastRun] = query{f, f.number, try.Stream}
-		e.at, e.what, e.end = t.now+after, limit, brain.TimedOut
+		e.at, e.what, e.end = t.now+after, limit, admission.TimedOut
 	}
 	t.push(e)
 }
@@ -53,10 +53,10 @@
 	t.Tries[f.try].Pause = pause
 	t.final(f, Shed)
 	try := t.Tries[f.try]
-	if t.set.Shadows > 0 && r.me == 0 && t.now == try.Taken && try.HasTold[waits.Return] {
+	if t.set.Shadows > 0 && r.me == 0 && t.now == try.Taken && try.HasTold[waittime.Return] {
 		if t.refused++; t.refused%t.set.Shadows == 0 {
 			t.push(event{at: t.now + lookEvery, what: look, token: uint64(len(t.Shadows))})
-			t.Shadows = append(t.Shadows, Shadow{Stream: try.Stream, At: t.now, Told: try.Told[waits.Return], ask: f.ask})
+			t.Shadows = append(t.Shadows, Shadow{Stream: try.Stream, At: t.now, Told: try.Told[waittime.Return], ask: f.ask})
 		}
 	}
 	if s := &t.set.Streams[try.Stream]; try.Number < s.Tries {
@@ -85,7 +85,7 @@
 	}
 }
 
-func (r *router) Told(id uint32, k waits.Kind, e waits.Estimate) {
+func (r *router) Told(id uint32, k waittime.Kind, e waittime.Estimate) {
 	try := &r.t.Tries[r.flights[id].try]
 	try.Told[k], try.HasTold[k] = e, true
 }
@@ -96,7 +96,7 @@
 
 // Cancel gives a send up; the engine goes on with it all the same.
 func (r *router) Cancel(id uint32, send int) {
-	r.t.push(event{at: r.t.now + trip, what: outcome, router: r.me, life: r.life, token: uint64(id), number: send, end: brain.Cancelled})
+	r.t.push(event{at: r.t.now + trip, what: outcome, router: r.me, life: r.life, token: uint64(id), number: send, end: admission.Cancelled})
 }
 
 func (r *router) Withdraw(uint32, int) {} // what is sent has left
--- a/emulator/town/recall_test.go
+++ b/emulator/cluster/recall_test.go
@@ -1,19 +1,19 @@
-package town
+package cluster
 
 import (
 	"fmt"
 	"math"
 	"testing"
 
-	"dunereach/brain"
-	"dunereach/memory"
+	"dunereach/admission"
+	"dunereach/warmstart"
 
 	"pgregory.net/rapid"
 )
 
 // believed is what a restarted router of the town believes: engines' starts are by the same clock here.
-func believed(k memory.Known, age float64, s *brain.Settings) *memory.Beliefs {
-	b := memory.Believe(k, age, true, brain.Fingerprints(s.Profiles), s.Rates())
+func believed(k warmstart.Known, age float64, s *admission.Settings) *warmstart.Beliefs {
+	b := warmstart.Believe(k, age, true, admission.Fingerprints(s.Profiles), s.Rates())
 	return &b
 }
 
@@ -21,7 +21,7 @@
 func peak(seed uint64, restart bool, recall Recall) Settings {
 	s := small()
 	s.Seed, s.Length, s.Routers, s.Recall = seed, 60, 3, recall
-	s.Brain.Profiles = append(s.Brain.Profiles, brain.Profile{Target: 3, Stretch: 2, Benefit: 1, Threads: 1})
+	s.Brain.Profiles = append(s.Brain.Profiles, admission.Profile{Target: 3, Stretch: 2, Benefit: 1, Threads: 1})
 	long := Stream{Work: 0.8, CV: 1, Deadline: 8, Scatter: 0.3, Bias: 0.4, Profile: 1}
 	long.Rate, long.Peak = Steady(10)
 	s.Streams[0].Bias = 2
@@ -94,9 +94,9 @@
 	switch {
 	case m.Number > 0 && m.Out > 1: // this one counts
 		say("another of the command is out")
-	case m.Number > 0 && p.Effect == brain.NonReplayable && !m.LastEnd.NeverRan():
+	case m.Number > 0 && p.Effect == admission.NonReplayable && !m.LastEnd.NeverRan():
 		say("a command that may have run, and may not run twice, is sent again")
-	case m.Told != brain.Ready && m.ToldFor > w.grace:
+	case m.Told != admission.Ready && m.ToldFor > w.grace:
 		say("to an engine that it knew for %.2f s to be no more ready", m.ToldFor)
 	case p.Ordered && m.KeyOpen:
 		say("an earlier command of its key is open")
@@ -112,8 +112,8 @@
 func rough() (Settings, *rules) {
 	s := small()
 	s.Length = 16
-	s.Brain.Profiles[0].Effect = brain.NonReplayable
-	s.Brain.Profiles = append(s.Brain.Profiles, brain.Profile{Target: 0.8, Stretch: 2, Benefit: 1, Threads: 1, Ordered: true})
+	s.Brain.Profiles[0].Effect = admission.NonReplayable
+	s.Brain.Profiles = append(s.Brain.Profiles, admission.Profile{Target: 0.8, Stretch: 2, Benefit: 1, Threads: 1, Ordered: true})
 	s.Brain.KeyRest, s.Brain.BudgetFree, s.Brain.BudgetShare, s.Brain.BudgetWindow = 0.5, 3, 0.1, 5
 	st := Stream{Work: 0.1, CV: 1, Deadline: 4, Scatter: 0.3, Profile: 1, Keys: 6}
 	st.Rate, st.Peak = Steady(20)
@@ -143,8 +143,8 @@
 		age := rapid.SampledFrom([]float64{0.1, 5, 60, 1e4}).Draw(t, "age")
 		sure := rapid.Bool().Draw(t, "sure")
 		s.Seed = rapid.Uint64().Draw(t, "seed")
-		s.Recall = func(k memory.Known, _ float64, s *brain.Settings) *memory.Beliefs {
-			b := memory.Believe(k, age, sure, brain.Fingerprints(s.Profiles), s.Rates())
+		s.Recall = func(k warmstart.Known, _ float64, s *admission.Settings) *warmstart.Beliefs {
+			b := warmstart.Believe(k, age, sure, admission.Fingerprints(s.Profiles), s.Rates())
 			return &b
 		}
 		r, err := Run(s)
@@ -165,8 +165,8 @@
 		any := func(name string) float64 {
 			return rapid.OneOf(rapid.Float64Range(0, 100), rapid.SampledFrom([]float64{0, 1e-9, 1e9, 1e12})).Draw(t, name)
 		}
-		hostile := func(k memory.Known, _ float64, _ *brain.Settings) *memory.Beliefs {
-			b := &memory.Beliefs{}
+		hostile := func(k warmstart.Known, _ float64, _ *admission.Settings) *warmstart.Beliefs {
+			b := &warmstart.Beliefs{}
 			for _, p := range k.Profiles {
 				p.Work, p.Seen, p.Hinted, p.Worked, p.Slow = any("work"), any("seen"), any("hinted"), any("worked"), 1+any("slow")
 				for n := range p.Times.Counts {
@@ -177,11 +177,11 @@
 			}
 			for n := range 3 {
 				for _, e := range []uint32{1, 2, 3, 1 << 30} {
-					b.Engines = append(b.Engines, memory.Engine{ID: e + uint32(n), Slow: 1 + any("slow"), Fails: rapid.Float64Range(0, 1).Draw(t, "fails"), Ill: true, Pause: rapid.Float64Range(0, 60).Draw(t, "pause")})
+					b.Engines = append(b.Engines, warmstart.Engine{ID: e + uint32(n), Slow: 1 + any("slow"), Fails: rapid.Float64Range(0, 1).Draw(t, "fails"), Ill: true, Pause: rapid.Float64Range(0, 60).Draw(t, "pause")})
 				}
 			}
 			for range k.Tenants {
-				b.Tenants = append(b.Tenants, memory.Tenant{Left: -any("left")})
+				b.Tenants = append(b.Tenants, warmstart.Tenant{Left: -any("left")})
 			}
 			b.Cut, b.Pace, b.Asked, b.Span = any("cut"), 1+any("pace"), any("asked"), any("span")
 			return b
--- a/emulator/town/town.go
+++ b/emulator/cluster/town.go
@@ -1,20 +1,20 @@
-// Package town plays routers' modules on virtual time, with model engines, clients drawn by chance and a list of engines
+// Package cluster plays routers' modules on virtual time, with model engines, clients drawn by chance and a list of engines
 // that comes late. It hosts the very packages that serve; nothing on the decision side is imitated, and the list takes
-// the path that it takes in service (internal/members, from the bytes of a DNS answer). The same settings and seed give the
+// the path that it takes in service (internal/discovery, from the bytes of a DNS answer). The same settings and seed give the
 // same run.
-package town
+package cluster
 
 import (
 	"container/heap"
 	"math"
 	"math/rand/v2"
 
-	"dunereach/brain"
-	"dunereach/budgets"
+	"dunereach/admission"
 	"dunereach/emulator/engine"
-	"dunereach/internal/members"
-	"dunereach/memory"
-	"dunereach/waits"
+	"dunereach/fairshare"
+	"dunereach/internal/discovery"
+	"dunereach/waittime"
+	"dunereach/warmstart"
 
 	"gonum.org/v1/gonum/stat/distuv"
 )
@@ -56,10 +56,10 @@
 	Seed    uint64
 	Routers int // 0: 1
 	Engines []Engine
-	Brain   brain.Settings // Seed, Me, Routers, Teams and Waits are the run's to set
-	Zones   []string       // nil: one
-	Kinds   []string       // nil: one for each engine, with its cores
-	Teams   *budgets.Spec  // nil: none
+	Brain   admission.Settings // Seed, Me, Routers, Teams and Waits are the run's to set
+	Zones   []string           // nil: one
+	Kinds   []string           // nil: one for each engine, with its cores
+	Teams   *fairshare.Spec    // nil: none
 	Waits   bool
 	Streams []Stream
 	Happens []Happening
@@ -72,16 +72,16 @@
 }
 
 // Recall gives what is believed of what a process knew that ended so many seconds ago.
-type Recall func(k memory.Known, age float64, s *brain.Settings) *memory.Beliefs
+type Recall func(k warmstart.Known, age float64, s *admission.Settings) *warmstart.Beliefs
 
 // Shadow is a refused command that nobody sends again: the module is asked every 50 ms whether it would let it in.
 type Shadow struct {
 	Stream int
 	At     float64
-	Told   waits.Estimate
+	Told   waittime.Estimate
 	Took   float64
 	In     bool // false: it was given up looking
-	ask    brain.Command
+	ask    admission.Command
 }
 
 const (
@@ -118,7 +118,7 @@
 	How     How
 	Work    float64
 	Target  float64 // seconds from Taken
-	Told    [3]waits.Estimate
+	Told    [3]waittime.Estimate
 	HasTold [3]bool
 	Pause   float64
 }
@@ -140,7 +140,7 @@
 	Shadows []Shadow
 	Changes []float64 // when a level of a running send was changed
 	Wasted  float64   // core seconds spilt
-	Teams   *budgets.Tree
+	Teams   *fairshare.Tree
 	Clients int // that came, or would have
 }
 
@@ -152,13 +152,13 @@
 	out     bool
 	engine  int
 	sent    float64
-	ended   brain.End // of its latest send that ended
-	first   int       // engine of its first send, -1: none yet
+	ended   admission.End // of its latest send that ended
+	first   int           // engine of its first send, -1: none yet
 	firstAt float64
 	run     uint64 // the engine's number for it
 	level   int
 	over    bool
-	ask     brain.Command
+	ask     admission.Command
 }
 
 type what uint8
@@ -184,7 +184,7 @@
 	token  uint64
 	number int
 	try    Try
-	end    brain.End
+	end    admission.End
 	text   []byte
 	h      Happening
 }
@@ -235,14 +235,14 @@
 	me       int
 	life     int
 	up       bool
-	mind     *brain.Brain
-	follower *members.Follower
+	mind     *admission.Brain
+	follower *discovery.Follower
 	flights  map[uint32]*flight
 	lastID   uint32
 	told     []told // by engine
 	further  []float64
 	taken    []float64
-	knew     memory.Known // by the process that ended last, and when that was
+	knew     warmstart.Known // by the process that ended last, and when that was
 	diedAt   float64
 }
 
@@ -301,7 +301,7 @@
 	b := t.set.Brain
 	b.Seed, b.Me, b.Routers = t.set.Seed+uint64(r.me)<<32+uint64(r.life)<<48, r.me, t.set.Routers
 	if t.set.Teams != nil {
-		tree, err := budgets.New(*t.set.Teams, t.now)
+		tree, err := fairshare.New(*t.set.Teams, t.now)
 		if err != nil {
 			return err
 		}
@@ -311,20 +311,20 @@
 		}
 	}
 	if t.set.Waits {
-		b.Waits = waits.New(len(b.Profiles), b.MaxPause)
+		b.Waits = waittime.New(len(b.Profiles), b.MaxPause)
 	}
 	r.up, r.flights, r.lastID = true, map[uint32]*flight{}, 0
 	r.told = make([]told, len(t.engines))
 	r.further, r.taken = nil, nil
-	r.follower = members.New(t.set.Zones, t.set.Kinds)
+	r.follower = discovery.New(t.set.Zones, t.set.Kinds)
 	if _, err := r.follower.Start(t.list.known(t)); err != nil {
 		return err
 	}
 	if t.set.Recall != nil && r.life > 0 {
 		b.Memory = t.set.Recall(r.knew, t.now-r.diedAt, &b)
 	}
-	r.mind = brain.New(b, t.now, r)
-	r.members(brain.Cached)
+	r.mind = admission.New(b, t.now, r)
+	r.members(admission.Cached)
 	r.poll(t.now)
 	return nil
 }
@@ -402,7 +402,7 @@
 		r.poll(t.now)
 	case news:
 		if fresh, _ := r.follower.Answer(e.text); fresh {
-			r.members(brain.Full)
+			r.members(admission.Full)
 		}
 	case outcome, limit:
 		if f := r.flights[uint32(e.token)]; f != nil && f.out && f.number == e.number {
@@ -482,7 +482,7 @@
 	t.Tries = append(t.Tries, try)
 	r.flights[f.id] = f
 	r.taken = append(r.taken, t.now)
-	f.ask = brain.Command{ID: f.id, Profile: s.Profile, Tenant: s.Tenant, Team: s.Team, Key: try.Key,
+	f.ask = admission.Command{ID: f.id, Profile: s.Profile, Tenant: s.Tenant, Team: s.Team, Key: try.Key,
 		TimeLeft: s.Deadline, Mark: try.Mark, Cost: try.Guess, Memory: s.Memory}
 	t.show(Taken, f)
 	r.mind.Command(t.now, f.ask)
@@ -500,31 +500,31 @@
 		return // nobody waits for it any more
 	}
 	house := t.engines[k]
-	note := brain.Note{ID: f.id, Engine: house.id, Send: f.number, Value: ev.Value}
+	note := admission.Note{ID: f.id, Engine: house.id, Send: f.number, Value: ev.Value}
 	mind := t.routers[f.router].mind
 	switch ev.What {
 	case engine.Done:
 		if house.loses > 0 && t.luck.Float64() < house.loses {
 			return // its answer is lost on the way: the send's limit ends it
 		}
-		t.end(f, brain.Answered, ev.Value)
+		t.end(f, admission.Answered, ev.Value)
 	case engine.Progress:
-		note.Kind = brain.Progressed
+		note.Kind = admission.Progressed
 		mind.Note(t.now, note)
 	case engine.Spills:
-		note.Kind = brain.Spilling
+		note.Kind = admission.Spilling
 		mind.Note(t.now, note)
 	}
 }
 
-func (t *Town) end(f *flight, end brain.End, work float64) {
+func (t *Town) end(f *flight, end admission.End, work float64) {
 	f.out = false
 	t.show(SendEnded, f, end)
 	f.ended = end
-	if end == brain.Answered && !f.over {
+	if end == admission.Answered && !f.over {
 		t.final(f, Answered)
 	}
-	o := brain.Outcome{ID: f.id, Engine: t.engines[f.engine].id, Send: f.number, End: end, Lag: t.now - f.sent, Over: f.over, Work: work}
+	o := admission.Outcome{ID: f.id, Engine: t.engines[f.engine].id, Send: f.number, End: end, Lag: t.now - f.sent, Over: f.over, Work: work}
 	r := t.routers[f.router]
 	r.mind.Outcome(t.now, o)
 	r.forget(f)
--- a/emulator/town/town_test.go
+++ b/emulator/cluster/town_test.go
@@ -1,17 +1,17 @@
-package town
+package cluster
 
 import (
 	"testing"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/emulator/engine"
 
 	"github.com/google/go-cmp/cmp"
 )
 
 func small() Settings {
-	s := Settings{Seed: 7, Length: 20, Routers: 2, Brain: brain.Settings{Tick: 0.005, MaxSends: 4, Priorities: true, MaxPause: 0.5,
-		ColdFrom: 0.35, WarmUp: 15, FallMultiple: 2, FallWindow: 1, Profiles: []brain.Profile{{Target: 0.8, Stretch: 2, Benefit: 1, Threads: 1}}}}
+	s := Settings{Seed: 7, Length: 20, Routers: 2, Brain: admission.Settings{Tick: 0.005, MaxSends: 4, Priorities: true, MaxPause: 0.5,
+		ColdFrom: 0.35, WarmUp: 15, FallMultiple: 2, FallWindow: 1, Profiles: []admission.Profile{{Target: 0.8, Stretch: 2, Benefit: 1, Threads: 1}}}}
 	for range 3 {
 		s.Engines = append(s.Engines, Engine{Settings: engine.Settings{Cores: 4, Knee: 2, Thrash: 0.3, Notes: 2}})
 	}
--- a/emulator/town/world.go
+++ b/emulator/cluster/world.go
@@ -1,4 +1,4 @@
-package town
+package cluster
 
 import (
 	"encoding/binary"
@@ -7,10 +7,10 @@
 	"slices"
 	"strings"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/emulator/engine"
-	"dunereach/internal/members"
-	"dunereach/internal/standin"
+	"dunereach/internal/discovery"
+	"dunereach/internal/fake"
 )
 
 // Act is what can happen to the town.
@@ -84,30 +84,30 @@
 	Try    *Try
 	Stream *Stream
 
-	Engine   int         // -1: none
-	Told     brain.State // of that engine, as the router was told
-	ToldFor  float64     // seconds since; 0 for what it knew from the start
-	Age      float64     // seconds since the engine's late start, as told; negative: it started long ago
-	True     brain.State
+	Engine   int             // -1: none
+	Told     admission.State // of that engine, as the router was told
+	ToldFor  float64         // seconds since; 0 for what it knew from the start
+	Age      float64         // seconds since the engine's late start, as told; negative: it started long ago
+	True     admission.State
 	Number   int // of the send, from 0
 	Out      int // sends of this command that are out, this one not counted
 	EngineN  int // queries on that engine, of all routers
 	Level    int // priority
-	End      brain.End
-	Further  int       // sends beyond the first of each command, this one counted, in the budget's window
-	Commands int       // taken in that window
-	LastEnd  brain.End // of the command's send before this one, where Number is over 0
-	First    int       // engine of the command's first send, -1: none yet
-	Since    float64   // seconds since that left
-	Recent   float64   // core seconds that all routers have sent to this engine in the last FallWindow, this send counted
-	KeyOpen  bool      // an earlier command of the same key is open or out
-	Waited   float64   // since it was taken
-	Rev      uint32    // of the list in hand
-	Listed   int       // engines ready there
+	End      admission.End
+	Further  int           // sends beyond the first of each command, this one counted, in the budget's window
+	Commands int           // taken in that window
+	LastEnd  admission.End // of the command's send before this one, where Number is over 0
+	First    int           // engine of the command's first send, -1: none yet
+	Since    float64       // seconds since that left
+	Recent   float64       // core seconds that all routers have sent to this engine in the last FallWindow, this send counted
+	KeyOpen  bool          // an earlier command of the same key is open or out
+	Waited   float64       // since it was taken
+	Rev      uint32        // of the list in hand
+	Listed   int           // engines ready there
 }
 
 type told struct {
-	state brain.State
+	state admission.State
 	at    float64
 }
 
@@ -116,7 +116,7 @@
 	*engine.Engine
 	set   Engine
 	id    uint32 // the routers' number of it
-	state brain.State
+	state admission.State
 	born  float64
 	errs  float64
 	loses float64
@@ -144,9 +144,9 @@
 	if e.Name == "" {
 		e.Name = fmt.Sprintf("e-%d", k)
 	}
-	h := &house{Engine: engine.New(e.Settings, 0), set: e, state: brain.Ready, born: e.Born}
+	h := &house{Engine: engine.New(e.Settings, 0), set: e, state: admission.Ready, born: e.Born}
 	if e.Absent {
-		h.state = brain.Gone
+		h.state = admission.Gone
 	}
 	return h
 }
@@ -171,11 +171,11 @@
 	l.rev++
 	l.was, l.lines = l.lines, nil
 	for k, e := range t.engines {
-		if e.state == brain.Gone {
+		if e.state == admission.Gone {
 			continue
 		}
 		priority := 0
-		if e.state == brain.Draining {
+		if e.state == admission.Draining {
 			priority = 1
 		}
 		l.lines = append(l.lines, fmt.Sprintf("%s.%s %d %.0f %s %d %.0f 127.0.%d.%d:4100", e.set.Name, t.set.Zones[e.set.Zone],
@@ -184,21 +184,21 @@
 }
 
 // known is the list of now as a configuration has it.
-func (l *list) known(t *Town) members.Known {
-	n := members.Notice{Rev: l.rev}
+func (l *list) known(t *Town) discovery.Known {
+	n := discovery.Notice{Rev: l.rev}
 	n.Pool = &struct {
-		All     bool             `json:"all"`
-		Targets []members.Target `json:"targets"`
+		All     bool               `json:"all"`
+		Targets []discovery.Target `json:"targets"`
 	}{All: true}
 	for k, e := range t.engines {
-		if e.state == brain.Gone {
+		if e.state == admission.Gone {
 			continue
 		}
-		n.Pool.Targets = append(n.Pool.Targets, members.Target{UID: e.set.Name, Endpoint: fmt.Sprintf("127.0.%d.%d:4100", k/250, 1+k%250),
-			Zone: t.set.Zones[e.set.Zone], Kind: t.set.Kinds[e.set.Kind], Cell: e.set.Cell, State: map[brain.State]string{
-				brain.Ready: "ready", brain.Draining: "draining"}[e.state], Weight: e.set.Cores, BootMs: e.born * 1000})
+		n.Pool.Targets = append(n.Pool.Targets, discovery.Target{UID: e.set.Name, Endpoint: fmt.Sprintf("127.0.%d.%d:4100", k/250, 1+k%250),
+			Zone: t.set.Zones[e.set.Zone], Kind: t.set.Kinds[e.set.Kind], Cell: e.set.Cell, State: map[admission.State]string{
+				admission.Ready: "ready", admission.Draining: "draining"}[e.state], Weight: e.set.Cores, BootMs: e.born * 1000})
 	}
-	return members.Known{Rev: l.rev, Notices: []members.Notice{n}}
+	return discovery.Known{Rev: l.rev, Notices: []discovery.Notice{n}}
 }
 
 // poll asks for the list, as the driver does.
@@ -215,7 +215,7 @@
 	if l.old[r.me] {
 		rev, lines = rev-1, l.was
 	}
-	text := standin.Reply(id, rev, members.Record, lines...)
+	text := fake.Reply(id, rev, discovery.Record, lines...)
 	if l.damaged[r.me] {
 		text = text[:len(text)*2/3]
 	}
@@ -223,9 +223,9 @@
 }
 
 // members hands the list in hand to the module.
-func (r *router) members(scope brain.Scope) {
+func (r *router) members(scope admission.Scope) {
 	t := r.t
-	ready := map[uint32]brain.State{}
+	ready := map[uint32]admission.State{}
 	for _, e := range r.follower.List() {
 		ready[e.Engine] = e.State
 	}
@@ -238,7 +238,7 @@
 			}
 		}
 		state := ready[h.id] // gone where it is not listed
-		if scope == brain.Cached {
+		if scope == admission.Cached {
 			r.told[k] = told{state, math.Inf(-1)}
 		} else if r.told[k].state != state {
 			r.told[k] = told{state, t.now}
@@ -247,7 +247,7 @@
 	if t.set.Watch != nil {
 		m := Moment{On: Listed, Now: t.now, Router: r.me, Engine: -1, Rev: r.follower.Rev()}
 		for _, s := range ready {
-			if s == brain.Ready {
+			if s == admission.Ready {
 				m.Listed++
 			}
 		}
@@ -267,13 +267,13 @@
 		e.Advance(t.now)
 		switch h.Act {
 		case Drain:
-			if e.state == brain.Ready {
-				e.state = brain.Draining
+			if e.state == admission.Ready {
+				e.state = admission.Draining
 			}
 		case Gone:
 			t.die(k)
 		case Back:
-			e.Engine, e.state, e.born = engine.New(e.set.Settings, t.now), brain.Ready, t.now
+			e.Engine, e.state, e.born = engine.New(e.set.Settings, t.now), admission.Ready, t.now
 		case Pace:
 			e.Pace(t.now, h.Value)
 		case Silent:
@@ -295,7 +295,7 @@
 				continue
 			}
 			if fresh, err := r.follower.Start(t.list.known(t)); err == nil && fresh {
-				r.members(brain.Full)
+				r.members(admission.Full)
 			}
 		}
 	case Restart:
@@ -327,7 +327,7 @@
 		case Lose:
 			e.loses = 0
 		case Drain, Gone: // it starts anew
-			e.Engine, e.state, e.born = engine.New(e.set.Settings, t.now), brain.Ready, t.now
+			e.Engine, e.state, e.born = engine.New(e.set.Settings, t.now), admission.Ready, t.now
 		}
 	}
 	switch h.Act {
@@ -392,7 +392,7 @@
 // die ends an engine: what is out there is cut.
 func (t *Town) die(k int) {
 	e := t.engines[k]
-	e.state = brain.Gone
+	e.state = admission.Gone
 	e.Engine = engine.New(e.set.Settings, t.now)
 	var cut []uint64
 	for n, q := range t.running {
@@ -405,7 +405,7 @@
 		q := t.running[n]
 		delete(t.running, n)
 		r := t.routers[q.f.router]
-		t.push(event{at: t.now + trip, what: outcome, router: r.me, life: r.life, token: uint64(q.f.id), number: q.number, end: brain.Cut})
+		t.push(event{at: t.now + trip, what: outcome, router: r.me, life: r.life, token: uint64(q.f.id), number: q.number, end: admission.Cut})
 	}
 }
 
@@ -429,7 +429,7 @@
 }
 
 // show lets the watcher see a moment.
-func (t *Town) show(on On, f *flight, end ...brain.End) {
+func (t *Town) show(on On, f *flight, end ...admission.End) {
 	if t.set.Watch == nil {
 		return
 	}
--- a/emulator/fleet/audit.go
+++ b/emulator/fleet/audit.go
@@ -9,9 +9,9 @@
 	"slices"
 	"time"
 
-	"dunereach/member"
-	"dunereach/ownership"
-	"dunereach/record"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
 
 	"github.com/anishathalye/porcupine"
 )
@@ -82,7 +82,7 @@
 }
 
 func (a *audit) acted(c *call, err error) {
-	var old *ownership.Old
+	var old *lease.Old
 	if c.act < 0 {
 		return
 	}
@@ -90,7 +90,7 @@
 	switch {
 	case err == nil:
 		h.Output, h.Return = "taken", ticks(a.w.now)
-	case errors.As(err, &old) || errors.Is(err, record.ErrFence):
+	case errors.As(err, &old) || errors.Is(err, registry.ErrFence):
 		a.oldActs++
 		h.Output, h.Return = "refused", ticks(a.w.now)
 	}
@@ -163,7 +163,7 @@
 }
 
 // traced sees acts at the moment that they are done.
-func (a *audit) traced(r *router, t member.Trace) {
+func (a *audit) traced(r *router, t agent.Trace) {
 	if t.What != "act" {
 		return
 	}
--- a/emulator/fleet/script.go
+++ b/emulator/fleet/script.go
@@ -8,8 +8,8 @@
 	"strings"
 
 	"dunereach/emulator/scenario"
-	"dunereach/keeping"
-	"dunereach/member"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/coordinator"
 )
 
 // Leader is the keeper that leads by its own word and newest term.
@@ -40,7 +40,7 @@
 
 func (w *World) works() (all []string) {
 	for _, e := range w.engines {
-		all = append(all, fmt.Sprintf("%s/%d@%.3f", member.Warmth, e.ID, e.Start))
+		all = append(all, fmt.Sprintf("%s/%d@%.3f", agent.Warmth, e.ID, e.Start))
 	}
 	return all
 }
@@ -192,13 +192,13 @@
 		id, work := w.callSeq, w.works()[0]
 		for _, x := range w.keepers {
 			if x.up && !x.stopped && x.k.Leads() {
-				x.k.Order(x.clock.at(w.now), id, &keeping.Order{Kind: "release", Work: work})
+				x.k.Order(x.clock.at(w.now), id, &coordinator.Order{Kind: "release", Work: work})
 				w.carry(x)
 			}
 		}
 	case "wipe":
 		if r != nil {
-			r.disk = member.Kept{Pledged: true} // a folder that is gone says nothing, which is not the word of a clean end
+			r.disk = agent.Kept{Pledged: true} // a folder that is gone says nothing, which is not the word of a clean end
 		}
 	}
 }
--- a/emulator/fleet/world.go
+++ b/emulator/fleet/world.go
@@ -15,9 +15,9 @@
 	"slices"
 
 	"dunereach/emulator/scenario"
-	"dunereach/keeping"
-	"dunereach/member"
-	"dunereach/record"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/registry"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -45,7 +45,7 @@
 	script  func() // plays the next event of the file
 	last    string // owner that the event before found
 	Quiet   bool   // the script is over
-	engines []member.Engine
+	engines []agent.Engine
 }
 
 // clock of one process.
@@ -67,15 +67,15 @@
 type keeper struct {
 	*process
 	id   uint64
-	k    *keeping.Keeper
-	disk keeping.Stored
+	k    *coordinator.Keeper
+	disk coordinator.Stored
 }
 
 type router struct {
 	*process
-	m      *member.Member
-	disk   member.Kept
-	finder *member.Finder
+	m      *agent.Member
+	disk   agent.Kept
+	finder *agent.Finder
 }
 
 type call struct {
@@ -85,7 +85,7 @@
 	act    int // place in the history, where it is one
 	target string
 	tries  int
-	req    member.Request
+	req    agent.Request
 	open   bool
 }
 
@@ -127,16 +127,16 @@
 	w.reader, rand.Reader = rand.Reader, source{mathrand.New(mathrand.NewPCG(f.Seed, 12))}
 	w.audit.begin(w)
 	for n := range f.Engines {
-		w.engines = append(w.engines, member.Engine{ID: uint32(n + 1), Start: 1, Zone: f.Zone(n)})
+		w.engines = append(w.engines, agent.Engine{ID: uint32(n + 1), Start: 1, Zone: f.Zone(n)})
 	}
-	var all []record.Keeper
+	var all []registry.Keeper
 	for n := range f.Keepers {
-		all = append(all, record.Keeper{ID: uint64(n + 1), Name: fmt.Sprint("k", n+1), Addr: fmt.Sprint("k", n+1), Zone: f.Zone(n)})
+		all = append(all, registry.Keeper{ID: uint64(n + 1), Name: fmt.Sprint("k", n+1), Addr: fmt.Sprint("k", n+1), Zone: f.Zone(n)})
 	}
 	for n := range f.Keepers {
 		k := &keeper{process: w.process(all[n].Name, f.Zone(n)), id: uint64(n + 1)}
 		var err error
-		if k.disk, err = keeping.Begin(all, f.Lease, f.Drift); err != nil {
+		if k.disk, err = coordinator.Begin(all, f.Lease, f.Drift); err != nil {
 			return nil, err
 		}
 		w.keepers = append(w.keepers, k)
@@ -233,7 +233,7 @@
 func (w *World) startKeeper(k *keeper) {
 	life := w.begin(k.process)
 	var err error
-	k.k, err = keeping.New(keeping.Config{ID: k.id, Name: k.name, Hold: min(1, w.file.Lease/4), Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)},
+	k.k, err = coordinator.New(coordinator.Config{ID: k.id, Name: k.name, Hold: min(1, w.file.Lease/4), Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)},
 		Log: func(text string) { w.log("%s: %s", k.name, text) }}, k.disk, k.clock.at(w.now))
 	if err != nil {
 		w.audit.fail("%s does not start: %v", k.name, err)
@@ -317,11 +317,11 @@
 	if len(addrs) == 0 {
 		addrs = []string{"nobody"}
 	}
-	r.finder = member.NewFinder(addrs, w.rnd.IntN(len(addrs)))
-	r.m = member.New(member.Config{Name: r.name, Zone: r.zone, Region: "r", Incarnation: life, Seed: w.rnd.Uint64(),
-		Stands: []string{member.Warmth, member.Trials, member.Quotas}, Members: w.file.Routers, Window: 1,
+	r.finder = agent.NewFinder(addrs, w.rnd.IntN(len(addrs)))
+	r.m = agent.New(agent.Config{Name: r.name, Zone: r.zone, Region: "r", Incarnation: life, Seed: w.rnd.Uint64(),
+		Stands: []string{agent.Warmth, agent.Trials, agent.Quotas}, Members: w.file.Routers, Window: 1,
 		Began: r.clock.at(w.now), Clean: life == 1, Keeps: w.file.Folders,
-		Trace: func(t member.Trace) { w.audit.traced(r, t) },
+		Trace: func(t agent.Trace) { w.audit.traced(r, t) },
 		Log:   func(text string) { w.log("%s: %s", r.name, text) }}, r.disk)
 	share := 1 / float64(w.file.Routers)
 	var needs []float64 // a router's traffic is its own, and lasts
@@ -334,15 +334,15 @@
 			return
 		}
 		w.in(r.process, life, func() {
-			var d member.Demand
+			var d agent.Demand
 			for k, e := range w.engines {
 				need := needs[k] * (0.9 + 0.2*w.rnd.Float64())
-				d.Cold = append(d.Cold, member.Cold{Engine: e, Need: need, Least: need / 3})
+				d.Cold = append(d.Cold, agent.Cold{Engine: e, Need: need, Least: need / 3})
 			}
 			// One engine is doubted by all, so that its owner puts findings down.
-			ill := member.Health{Engine: w.engines[0], Ill: true, Heard: -1}
-			d.Doubted = []member.Health{ill}
-			d.Health = func(uint32) (member.Health, bool) { return ill, true }
+			ill := agent.Health{Engine: w.engines[0], Ill: true, Heard: -1}
+			d.Doubted = []agent.Health{ill}
+			d.Health = func(uint32) (agent.Health, bool) { return ill, true }
 			now := r.clock.at(w.now)
 			r.m.Tell(now, d)
 			w.put(r, r.m.Tick(now))
@@ -353,7 +353,7 @@
 }
 
 // put a member's requests on their way.
-func (w *World) put(r *router, all []member.Request) {
+func (w *World) put(r *router, all []agent.Request) {
 	life := r.life
 	for _, req := range all {
 		if req.Keep != nil {
@@ -376,7 +376,7 @@
 			if c.open {
 				r.finder.Failed(c.target)
 			}
-			w.end(id, c, nil, member.ErrNoAnswer)
+			w.end(id, c, nil, agent.ErrNoAnswer)
 		})
 	}
 }
@@ -397,7 +397,7 @@
 	if !k.up { // refused at once
 		w.after(0.001, func() {
 			c.from.finder.Failed(c.target)
-			w.end(id, c, nil, member.ErrNoAnswer)
+			w.end(id, c, nil, agent.ErrNoAnswer)
 		})
 		return
 	}
@@ -427,13 +427,13 @@
 	}
 }
 
-func (w *World) reply(k *keeper, a keeping.Answer) {
+func (w *World) reply(k *keeper, a coordinator.Answer) {
 	c := w.calls[a.Request]
 	if c == nil {
 		return
 	}
 	w.send(k.process, c.from.process, func() {
-		if errors.Is(a.Err, keeping.ErrElsewhere) {
+		if errors.Is(a.Err, coordinator.ErrElsewhere) {
 			leader := ""
 			if x := w.keeper(a.Leader); x != nil {
 				leader = x.name
--- a/emulator/explore/explore.go
+++ b/emulator/modelcheck/explore.go
@@ -1,15 +1,15 @@
-// Package explore walks through every order of events of a small fleet: two owners, one keeper's record, one receiver, with
+// Package modelcheck walks through every order of events of a small fleet: two owners, one keeper's record, one receiver, with
 // messages that are late, lost and repeated, and processes that stand still for as long as they like. The rules are those of
 // packages ownership and record themselves.
-package explore
+package modelcheck
 
 import (
 	"fmt"
 	"sort"
 	"strings"
 
-	"dunereach/ownership"
-	"dunereach/record"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
 )
 
 // Bounds of a walk. A message that is lost is one that never arrives within them.
@@ -57,7 +57,7 @@
 }
 
 type owner struct {
-	o       *ownership.Owner
+	o       *lease.Owner
 	beats   int
 	acts    int
 	lets    int
@@ -72,7 +72,7 @@
 	index    uint64
 	heard    [2]int // by the keeper, of each owner's session
 	owners   [2]owner
-	gate     *ownership.Gate
+	gate     *lease.Gate
 	flight   []message
 	restarts int
 	repeats  int
@@ -80,7 +80,7 @@
 	accepted uint64         // highest fence that the receiver took
 	of       map[uint64]int // who was given each fence
 	trail    *step
-	decoded  map[string]*record.Record
+	decoded  map[string]*registry.Record
 }
 
 type step struct {
@@ -134,15 +134,15 @@
 
 // Walk through all states within the bounds. whole is false where there were more than Most.
 func Walk(b Bounds) (states int, whole bool, err error) {
-	terms := ownership.Terms{Lease: float64(b.Lease), Drift: 0}
-	first := &state{decoded: map[string]*record.Record{}, gate: ownership.NewGate(), of: map[uint64]int{}}
-	rec := record.New()
+	terms := lease.Terms{Lease: float64(b.Lease), Drift: 0}
+	first := &state{decoded: map[string]*registry.Record{}, gate: lease.NewGate(), of: map[uint64]int{}}
+	rec := registry.New()
 	for k := range names {
 		first.index++
-		if _, err := rec.Apply(first.index, record.Entry{Version: record.Version, Kind: record.Open, Name: names[k], Incarnation: 1}); err != nil {
+		if _, err := rec.Apply(first.index, registry.Entry{Version: registry.Version, Kind: registry.Open, Name: names[k], Incarnation: 1}); err != nil {
 			return 0, false, err
 		}
-		first.owners[k] = owner{o: ownership.NewOwner(terms), session: first.index}
+		first.owners[k] = owner{o: lease.NewOwner(terms), session: first.index}
 	}
 	if first.rec, err = rec.Snapshot(); err != nil {
 		return 0, false, err
@@ -185,12 +185,12 @@
 	return nil
 }
 
-func (s *state) apply(e record.Entry) (uint64, error) {
-	r, err := record.Restore(s.rec)
+func (s *state) apply(e registry.Entry) (uint64, error) {
+	r, err := registry.Restore(s.rec)
 	if err != nil {
 		return 0, err
 	}
-	e.Version = record.Version
+	e.Version = registry.Version
 	s.index++
 	fence, refused := r.Apply(s.index, e)
 	if s.rec, err = r.Snapshot(); err != nil {
@@ -200,11 +200,11 @@
 }
 
 // read the record of a state. Records are only read, and a walk has some hundred.
-func (s *state) read() (*record.Record, error) {
+func (s *state) read() (*registry.Record, error) {
 	if r := s.decoded[string(s.rec)]; r != nil {
 		return r, nil
 	}
-	r, err := record.Restore(s.rec)
+	r, err := registry.Restore(s.rec)
 	if err == nil {
 		s.decoded[string(s.rec)] = r
 	}
@@ -255,14 +255,14 @@
 		// The keeper: it frees the works of a session that is silent for longer than the lease, and gives free ones to any.
 		if r.Session(o.session) != nil && s.t-s.heard[k] > b.Lease {
 			n := s.copy(fmt.Sprint("the session of ", names[k], " is over"))
-			if _, err := n.apply(record.Entry{Kind: record.Close, Session: o.session}); err != nil {
+			if _, err := n.apply(registry.Entry{Kind: registry.Close, Session: o.session}); err != nil {
 				return nil, err
 			}
 			add(n)
 		}
 		if x := r.Session(o.session); x != nil && (w == nil || w.Owner == 0) {
 			n := s.copy("the work is given to " + names[k])
-			fence, err := n.apply(record.Entry{Kind: record.Assign, Work: work, Session: o.session})
+			fence, err := n.apply(registry.Entry{Kind: registry.Assign, Work: work, Session: o.session})
 			if err != nil {
 				return nil, err
 			}
@@ -280,7 +280,7 @@
 		n := s.copy("the receiver starts again")
 		n.restarts++
 		marks, floor := s.gate.Export()
-		n.gate = ownership.NewGate()
+		n.gate = lease.NewGate()
 		n.gate.Import(marks, floor)
 		add(n)
 	}
@@ -306,7 +306,7 @@
 	return all, nil
 }
 
-func (s *state) arrive(r *record.Record, m message) error {
+func (s *state) arrive(r *registry.Record, m message) error {
 	switch m.kind {
 	case 'b':
 		if r.Session(m.session) == nil {
@@ -320,17 +320,17 @@
 		}
 		s.flight = append(s.flight, v)
 	case 'r':
-		if _, err := s.apply(record.Entry{Kind: record.Release, Work: work, Session: m.session, Fence: m.fence}); err != nil && err != record.ErrFence {
+		if _, err := s.apply(registry.Entry{Kind: registry.Release, Work: work, Session: m.session, Fence: m.fence}); err != nil && err != registry.ErrFence {
 			return err
 		}
 	case 'v':
-		var claims []ownership.Claim
+		var claims []lease.Claim
 		if m.fence > 0 {
-			claims = append(claims, ownership.Claim{Work: work, Fence: m.fence})
+			claims = append(claims, lease.Claim{Work: work, Fence: m.fence})
 		}
 		s.owners[m.who].o.Confirmed(mine(m.sent), uint64(m.number), m.session, claims)
 	case 'a':
-		gate := ownership.NewGate()
+		gate := lease.NewGate()
 		gate.Import(s.gate.Export())
 		s.gate = gate
 		if _, err := gate.Accept(work, m.fence); err != nil {
--- a/emulator/explore/explore_test.go
+++ b/emulator/modelcheck/explore_test.go
@@ -1,4 +1,4 @@
-package explore
+package modelcheck
 
 import "testing"
 
--- a/emulator/scenario/scenario.go
+++ b/emulator/scenario/scenario.go
@@ -1,5 +1,5 @@
 // Package scenario is a script of faults for a fleet: the same file is played on virtual time (emulator/fleet) and over real
-// processes (internal/rig).
+// processes (internal/faultrig).
 package scenario
 
 import (
--- a/emulator/zones/flow.go
+++ b/emulator/zones/flow.go
@@ -6,7 +6,7 @@
 	"math"
 	"math/rand/v2"
 
-	"dunereach/failover"
+	"dunereach/fleet/failover"
 )
 
 // row is where a router's work goes now.
--- a/emulator/zones/zones.go
+++ b/emulator/zones/zones.go
@@ -8,7 +8,7 @@
 	"math"
 	"math/rand/v2"
 
-	"dunereach/failover"
+	"dunereach/fleet/failover"
 )
 
 // Rule is how routers choose zones.
--- a/budgets/bends.go
+++ b/fairshare/bends.go
@@ -1,4 +1,4 @@
-package budgets
+package fairshare
 
 // This file lowers and raises the levels of sends that run.
 
--- a/budgets/levels.go
+++ b/fairshare/levels.go
@@ -1,4 +1,4 @@
-package budgets
+package fairshare
 
 // This file gives what teams have had to a process that comes after this one, and takes it.
 
--- a/budgets/line.go
+++ b/fairshare/line.go
@@ -1,4 +1,4 @@
-package budgets
+package fairshare
 
 // This file keeps the commands that are held, and those that are out.
 
--- a/budgets/spec.go
+++ b/fairshare/spec.go
@@ -1,4 +1,4 @@
-// Package budgets decides between teams that compete for the same engines: whose held command goes next, which team is
+// Package fairshare decides between teams that compete for the same engines: whose held command goes next, which team is
 // inside its budget, which running sends step back. It does no I/O and knows no clock, goroutine or socket: it is told the
 // time, what is held, sent and ended, and carries nothing out itself. Budgets are in work, core seconds. Equal calls come
 // to equal decisions.
@@ -6,7 +6,7 @@
 // The order is hierarchical start-time fair queueing (Goyal, Vin, Cheng: "Start-time Fair Queuing", 1996; Bennett, Zhang:
 // "Hierarchical Packet Fair Queueing Algorithms", 1996) with the weighted mean of the teams in use as virtual time, as in
 // EEVDF (Stoica, Abdel-Wahab, 1995). docs/design/team-budgets.md weighs it against others.
-package budgets
+package fairshare
 
 import (
 	"cmp"
--- a/budgets/tree.go
+++ b/fairshare/tree.go
@@ -1,4 +1,4 @@
-package budgets
+package fairshare
 
 import "math"
 
--- a/budgets/turns.go
+++ b/fairshare/turns.go
@@ -1,4 +1,4 @@
-package budgets
+package fairshare
 
 // This file gives what was passed over for too long its turn.
 
--- a/member/answers.go
+++ b/fleet/agent/answers.go
@@ -1,4 +1,4 @@
-package member
+package agent
 
 // This file takes what keepers answer and what others write.
 
@@ -7,11 +7,11 @@
 	"errors"
 	"strings"
 
-	"dunereach/keeping"
-	"dunereach/ownership"
-	"dunereach/parts"
-	"dunereach/record"
-	"dunereach/trials"
+	"dunereach/fleet/allocation"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
+	"dunereach/probing"
 )
 
 // Errors that a driver gives for a request that got no answer.
@@ -30,16 +30,16 @@
 	if s.note && s.work == PlanWork {
 		m.published(now, err)
 	}
-	var old *ownership.Old
+	var old *lease.Old
 	switch {
 	case err == nil:
-	case errors.Is(err, record.ErrSuperseded):
+	case errors.Is(err, registry.ErrSuperseded):
 		if !m.over {
 			m.over = true
 			m.lose(now, "another process has this name")
 		}
 		return
-	case errors.Is(err, keeping.ErrSession):
+	case errors.Is(err, coordinator.ErrSession):
 		m.lose(now, "the session is over")
 		m.beatAt = max(m.beatAt, now+0.2*m.rnd.Float64())
 		return
@@ -57,14 +57,14 @@
 		return
 	}
 	switch v := value.(type) {
-	case keeping.View:
+	case coordinator.View:
 		m.wait = 0
 		if v.Session == 0 { // it asks whether we are there now
 			m.got, m.beatAt = max(m.got, v.Number), now
 			return
 		}
 		m.view(now, s, v)
-	case keeping.Posted:
+	case coordinator.Posted:
 		for _, o := range v.Old {
 			m.Stats.ToldOld++
 			m.drop(o.Work, o.Fence)
@@ -96,7 +96,7 @@
 	m.letters = nil
 }
 
-func (m *Member) view(now float64, s sent, v keeping.View) {
+func (m *Member) view(now float64, s sent, v coordinator.View) {
 	if v.Lease != m.terms.Lease || v.Drift != m.terms.Drift {
 		m.setTerms(v.Lease, v.Drift)
 		m.owner.Terms(m.terms)
@@ -115,7 +115,7 @@
 	for _, c := range m.owner.Held() {
 		had[c.Work] = c.Fence
 	}
-	claims := make([]ownership.Claim, 0, len(v.Mine))
+	claims := make([]lease.Claim, 0, len(v.Mine))
 	for _, x := range v.Mine {
 		claims = append(claims, x.Claim)
 	}
@@ -146,12 +146,12 @@
 			m.letGo(now, x.Work)
 		}
 		if m.owner.Gone(x.Claim) && !m.releasing(x.Work) { // the word that we let go of it was lost
-			m.request(now, Request{Act: &keeping.Act{Kind: "release", Session: m.session, Work: x.Work, Fence: x.Fence}}, sent{work: x.Work})
+			m.request(now, Request{Act: &coordinator.Act{Kind: "release", Session: m.session, Work: x.Work, Fence: x.Fence}}, sent{work: x.Work})
 		}
 	}
 	for _, x := range v.Works {
 		m.planned(s.at, x)
-		var f trials.Finding
+		var f probing.Finding
 		if len(x.Note) > 0 && strings.HasPrefix(x.Work, Trials+"/") && json.Unmarshal(x.Note, &f) == nil {
 			m.book.Hear(now, x.By, f, x.Age+now-s.at)
 		}
@@ -170,7 +170,7 @@
 	return false
 }
 
-func (m *Member) letter(now float64, l keeping.Letter) {
+func (m *Member) letter(now float64, l coordinator.Letter) {
 	var x word
 	if json.Unmarshal(l.Body, &x) != nil {
 		return
@@ -203,9 +203,9 @@
 	}
 }
 
-func (m *Member) hear(now float64, work string, w *whole, d parts.Deal) {
+func (m *Member) hear(now float64, work string, w *whole, d allocation.Deal) {
 	switch err := w.holder.Hear(now, d); {
-	case err == parts.ErrLate:
+	case err == allocation.ErrLate:
 		m.Stats.Late++
 	case err == nil && d.Tag != 0:
 		m.trace(Trace{What: "part", Work: work, Fence: d.Fence, Part: d.Part, At: now, Until: w.holder.Until()})
@@ -225,7 +225,7 @@
 		m.owner.Let(c.Work)
 	}
 	if m.session != 0 {
-		m.request(now, Request{Act: &keeping.Act{Kind: "close", Session: m.session}}, sent{})
+		m.request(now, Request{Act: &coordinator.Act{Kind: "close", Session: m.session}}, sent{})
 	}
 	return m.flush()
 }
--- a/member/finder.go
+++ b/fleet/agent/finder.go
@@ -1,4 +1,4 @@
-package member
+package agent
 
 // Finder knows which keeper to ask: the one that led last, else one after another.
 type Finder struct {
--- a/member/member.go
+++ b/fleet/agent/member.go
@@ -1,7 +1,7 @@
-// Package member is one router's part in the fleet: its session with the keepers, the works that it owns, and what it makes of
+// Package agent is one router's part in the fleet: its session with the keepers, the works that it owns, and what it makes of
 // others' words. It does no I/O and knows no clock: a driver gives it time and answers and sends what it puts out. What it
 // tells the module are plain values; with nothing heard it tells nothing, and the module decides as if there were no fleet.
-package member
+package agent
 
 import (
 	"fmt"
@@ -9,12 +9,12 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunereach/failover"
-	"dunereach/keeping"
-	"dunereach/ownership"
-	"dunereach/parts"
-	"dunereach/record"
-	"dunereach/trials"
+	"dunereach/fleet/allocation"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/failover"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
+	"dunereach/probing"
 )
 
 // Kinds of work. What follows the slash names the thing.
@@ -102,24 +102,24 @@
 // Request goes to a keeper. Its answer comes back by Answer.
 type Request struct {
 	Seq  uint64
-	Beat *keeping.Beat
-	Mail *keeping.Mail
-	Act  *keeping.Act
+	Beat *coordinator.Beat
+	Mail *coordinator.Mail
+	Act  *coordinator.Act
 	Keep *Kept // not for a keeper: to be kept before Kept is called
 }
 
 // Kept is what outlives the process.
 type Kept struct {
-	Marks   []ownership.Mark `json:"marks" cbor:"1,keyasint"`
-	Floor   uint64           `json:"floor" cbor:"2,keyasint"`
-	Highest uint64           `json:"highest" cbor:"3,keyasint"`
-	Pledged bool             `json:"pledged" cbor:"4,keyasint"` // a part may be laid down
+	Marks   []lease.Mark `json:"marks" cbor:"1,keyasint"`
+	Floor   uint64       `json:"floor" cbor:"2,keyasint"`
+	Highest uint64       `json:"highest" cbor:"3,keyasint"`
+	Pledged bool         `json:"pledged" cbor:"4,keyasint"` // a part may be laid down
 }
 
 // whole is one thing with parts.
 type whole struct {
-	holder  *parts.Holder
-	dealer  *parts.Dealer // while its work is ours
+	holder  *allocation.Holder
+	dealer  *allocation.Dealer // while its work is ours
 	need    float64
 	least   float64
 	zone    string
@@ -153,10 +153,10 @@
 // Member of the fleet.
 type Member struct {
 	cfg      Config
-	terms    ownership.Terms
-	owner    *ownership.Owner
-	gate     *ownership.Gate
-	book     *trials.Book
+	terms    lease.Terms
+	owner    *lease.Owner
+	gate     *lease.Gate
+	book     *probing.Book
 	wholes   map[string]*whole
 	cold     map[start]*whole // the same by engine, since the module asks for them with each command
 	quotas   []*whole         // and by tenant
@@ -167,7 +167,7 @@
 	highest  uint64
 	seq      uint64
 	out      []Request
-	letters  []keeping.Letter
+	letters  []coordinator.Letter
 	sent     map[uint64]sent
 	beats    int // out
 	beatAt   float64
@@ -178,8 +178,8 @@
 	kept     Kept // on disk
 	keeping  uint64
 	clearing bool // the word that nothing is laid down is on its way to the disk
-	parts    parts.Terms
-	quota    parts.Terms
+	parts    allocation.Terms
+	quota    allocation.Terms
 
 	doesWarmth, doesTrials, doesQuotas, doesPlans bool
 
@@ -233,7 +233,7 @@
 
 // New member. kept is what an earlier process left.
 func New(cfg Config, kept Kept) *Member {
-	m := &Member{cfg: cfg, gate: ownership.NewGate(), book: trials.NewBook(), wholes: map[string]*whole{},
+	m := &Member{cfg: cfg, gate: lease.NewGate(), book: probing.NewBook(), wholes: map[string]*whole{},
 		cold: map[start]*whole{}, quotas: make([]*whole, len(cfg.Tenants)), trials: map[string]*trial{}, sent: map[uint64]sent{}, kept: kept, highest: kept.Highest,
 		rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), beatAt: cfg.Began}
 	m.doesWarmth, m.doesTrials, m.doesQuotas = slices.Contains(cfg.Stands, Warmth), slices.Contains(cfg.Stands, Trials), slices.Contains(cfg.Stands, Quotas)
@@ -247,7 +247,7 @@
 	}
 	const drift = 0.05 // until the keepers say
 	m.setTerms(0, drift)
-	m.owner = ownership.NewOwner(m.terms)
+	m.owner = lease.NewOwner(m.terms)
 	begins := Trace{What: "begins", Work: "*", At: cfg.Began, Until: cfg.Began}
 	if !m.cfg.Clean {
 		begins.Until += m.parts.Longest()
@@ -256,10 +256,10 @@
 	return m
 }
 
-func (m *Member) setTerms(lease, drift float64) {
-	m.terms = ownership.Terms{Lease: lease, Drift: drift}
-	m.parts = parts.Standard(m.cfg.Members, m.cfg.Window, drift)
-	m.quota = parts.Standard(m.cfg.Members, 1, drift) // a quota is so much a second
+func (m *Member) setTerms(duration, drift float64) {
+	m.terms = lease.Terms{Lease: duration, Drift: drift}
+	m.parts = allocation.Standard(m.cfg.Members, m.cfg.Window, drift)
+	m.quota = allocation.Standard(m.cfg.Members, 1, drift) // a quota is so much a second
 	for name, w := range m.wholes {
 		w.holder.Terms(m.termsOf(name))
 	}
@@ -287,7 +287,7 @@
 
 // unheard is the part of a whole that this process has no account of: the equal part, unless an earlier process may have laid
 // it down.
-func (m *Member) unheard(now float64, t parts.Terms) (float64, bool) {
+func (m *Member) unheard(now float64, t allocation.Terms) (float64, bool) {
 	if m.cfg.Clean || now >= m.cfg.Began+t.Longest() {
 		return 0, false
 	}
@@ -361,15 +361,15 @@
 }
 
 // use is a whole that there is use for now, nil: there are too many.
-func (m *Member) use(now float64, name string, t parts.Terms) *whole {
+func (m *Member) use(now float64, name string, t allocation.Terms) *whole {
 	if w := m.wholes[name]; w != nil {
 		w.wanted = now
 		return w
 	}
-	if len(m.wholes) >= mostWholes || record.CheckName(name) != nil {
+	if len(m.wholes) >= mostWholes || registry.CheckName(name) != nil {
 		return nil
 	}
-	w := &whole{holder: parts.NewHolder(t, m.cfg.Began, m.cfg.Clean), wanted: now}
+	w := &whole{holder: allocation.NewHolder(t, m.cfg.Began, m.cfg.Clean), wanted: now}
 	m.wholes[name] = w
 	return w
 }
@@ -392,8 +392,8 @@
 		m.keep(now, false) // nothing is laid down any more: a next process may use its equal part at once (after pledge, that waits for true)
 	}
 	if len(m.letters) > 0 && m.session != 0 {
-		n := min(len(m.letters), keeping.MostLetters)
-		m.request(now, Request{Mail: &keeping.Mail{Session: m.session, Incarnation: m.cfg.Incarnation, Letters: m.letters[:n:n]}}, sent{})
+		n := min(len(m.letters), coordinator.MostLetters)
+		m.request(now, Request{Mail: &coordinator.Mail{Session: m.session, Incarnation: m.cfg.Incarnation, Letters: m.letters[:n:n]}}, sent{})
 		m.letters = m.letters[n:]
 	}
 	return m.flush()
@@ -456,7 +456,7 @@
 	}
 	if c, ok := m.owner.Let(work); ok {
 		m.log("work %q fence %d: let go", work, c.Fence)
-		m.request(now, Request{Act: &keeping.Act{Kind: "release", Session: m.session, Work: work, Fence: c.Fence}}, sent{work: work})
+		m.request(now, Request{Act: &coordinator.Act{Kind: "release", Session: m.session, Work: work, Fence: c.Fence}}, sent{work: work})
 	}
 }
 
@@ -470,19 +470,19 @@
 	const gap = 0.05 // seconds between two beats at least
 	m.beatAt, m.told = now+gap, fresh
 	m.beats++
-	m.request(now, Request{Beat: &keeping.Beat{Name: m.cfg.Name, Incarnation: m.cfg.Incarnation, Zone: m.cfg.Zone, Region: m.cfg.Region,
+	m.request(now, Request{Beat: &coordinator.Beat{Name: m.cfg.Name, Incarnation: m.cfg.Incarnation, Zone: m.cfg.Zone, Region: m.cfg.Region,
 		Session: m.session, Got: m.got, Stands: m.cfg.Stands, Wants: wants, Highest: m.highest}}, sent{beat: true})
 }
 
-func (m *Member) wants() (all []keeping.Want) {
+func (m *Member) wants() (all []coordinator.Want) {
 	for _, name := range sorted(m.wholes) {
-		all = append(all, keeping.Want{Work: name, Zone: m.wholes[name].zone})
+		all = append(all, coordinator.Want{Work: name, Zone: m.wholes[name].zone})
 	}
 	for _, name := range sorted(m.trials) {
-		all = append(all, keeping.Want{Work: name, Zone: m.trials[name].engine.Zone})
+		all = append(all, coordinator.Want{Work: name, Zone: m.trials[name].engine.Zone})
 	}
 	if m.doesPlans {
-		all = append(all, keeping.Want{Work: PlanWork}, keeping.Want{Work: WordsWork})
+		all = append(all, coordinator.Want{Work: PlanWork}, coordinator.Want{Work: WordsWork})
 	}
 	return all
 }
@@ -503,7 +503,7 @@
 // ---- what keepers answer
 
 // Held is the works that are ours, by the record; May is whether we would act on one now.
-func (m *Member) Held() []ownership.Claim { return m.owner.Held() }
+func (m *Member) Held() []lease.Claim { return m.owner.Held() }
 
 func (m *Member) May(now float64, work string) (fence uint64, ok bool) {
 	return m.owner.May(now, work, 0)
--- a/member/member_test.go
+++ b/fleet/agent/member_test.go
@@ -1,15 +1,15 @@
-package member
+package agent
 
 import (
 	"encoding/json"
 	"strings"
 	"testing"
 
-	"dunereach/failover"
-	"dunereach/keeping"
-	"dunereach/ownership"
-	"dunereach/parts"
-	"dunereach/record"
+	"dunereach/fleet/allocation"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/failover"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
 )
 
 var cold = Engine{ID: 7, Start: 3, Zone: "east"}
@@ -49,15 +49,15 @@
 	return Request{}
 }
 
-func (k *talk) view(v keeping.View) {
+func (k *talk) view(v coordinator.View) {
 	r := k.take("beat")
 	v.Session, v.Lease, v.Drift = 5, 4, 0.05
 	k.m.Answer(k.now, r.Seq, v, nil)
 }
 
-func deal(fence uint64, w word) keeping.Letter {
+func deal(fence uint64, w word) coordinator.Letter {
 	body, _ := json.Marshal(w)
-	return keeping.Letter{Work: cold.work(Warmth), Fence: fence, Body: body, From: "n2"}
+	return coordinator.Letter{Work: cold.work(Warmth), Fence: fence, Body: body, From: "n2"}
 }
 
 // TestLetters: a deal that answers another process's pledge does nothing, nor does one under an old fence; one that answers ours
@@ -66,7 +66,7 @@
 	k := newTalk(t, Config{Clean: true})
 	k.tick(0.1)
 	work := cold.work(Warmth)
-	k.view(keeping.View{Number: 1, Works: []keeping.Seen{{Work: work, Fence: 3, Owner: "n2"}}, Mail: []keeping.Letter{deal(3, word{Deal: &parts.Deal{Fence: 3, Round: 1}})}})
+	k.view(coordinator.View{Number: 1, Works: []coordinator.Seen{{Work: work, Fence: 3, Owner: "n2"}}, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 1}})}})
 	k.tick(0.1)
 	mail := k.take("mail").Mail
 	var w word
@@ -76,19 +76,19 @@
 	if part, ok := k.m.Part(k.now, 7, 3); !ok || part != 0 {
 		t.Errorf("pledged, and it uses %v %v", part, ok)
 	}
-	answer := parts.Deal{Fence: 3, Round: 1, Tag: w.Pledge.Tag, Part: 0.4, Life: 1.5}
+	answer := allocation.Deal{Fence: 3, Round: 1, Tag: w.Pledge.Tag, Part: 0.4, Life: 1.5}
 	k.tick(0.1)
-	k.view(keeping.View{Number: 2, Mail: []keeping.Letter{deal(3, word{Deal: &answer, For: 40})}})
+	k.view(coordinator.View{Number: 2, Mail: []coordinator.Letter{deal(3, word{Deal: &answer, For: 40})}})
 	if part, _ := k.m.Part(k.now, 7, 3); part != 0 {
 		t.Errorf("a deal for an earlier process gave %v", part)
 	}
 	k.tick(0.1)
-	k.view(keeping.View{Number: 3, Mail: []keeping.Letter{deal(3, word{Deal: &answer, For: 41})}})
+	k.view(coordinator.View{Number: 3, Mail: []coordinator.Letter{deal(3, word{Deal: &answer, For: 41})}})
 	if part, ok := k.m.Part(k.now, 7, 3); !ok || part != 0.4 {
 		t.Errorf("a deal for us gave %v %v", part, ok)
 	}
 	k.tick(0.1)
-	k.view(keeping.View{Number: 4, Mail: []keeping.Letter{deal(4, word{Deal: &parts.Deal{Fence: 4, Round: 1}}), deal(3, word{Deal: &answer, For: 41})}})
+	k.view(coordinator.View{Number: 4, Mail: []coordinator.Letter{deal(4, word{Deal: &allocation.Deal{Fence: 4, Round: 1}}), deal(3, word{Deal: &answer, For: 41})}})
 	if k.m.Stats.Refused != 1 {
 		t.Errorf("%d letters under an old fence were refused", k.m.Stats.Refused)
 	}
@@ -101,18 +101,18 @@
 func TestReleaseAgain(t *testing.T) {
 	k := newTalk(t, Config{Clean: true})
 	work := cold.work(Warmth)
-	mine := []keeping.Mine{{Claim: ownership.Claim{Work: work, Fence: 3}}}
+	mine := []coordinator.Mine{{Claim: lease.Claim{Work: work, Fence: 3}}}
 	k.tick(0.1)
-	k.view(keeping.View{Number: 1, Mine: mine})
+	k.view(coordinator.View{Number: 1, Mine: mine})
 	k.tick(0.1)
 	mine[0].Asked = true
-	k.view(keeping.View{Number: 2, Mine: mine})
+	k.view(coordinator.View{Number: 2, Mine: mine})
 	k.tick(0.1)
 	k.m.Answer(k.now, k.take("release").Seq, nil, ErrNoAnswer)
 	if _, ok := k.m.May(k.now, work); ok {
 		t.Error("it still may act")
 	}
-	k.view(keeping.View{Number: 3, Mine: mine})
+	k.view(coordinator.View{Number: 3, Mine: mine})
 	k.tick(0.1)
 	k.take("release")
 }
@@ -125,7 +125,7 @@
 	}
 	k.tick(0.1)
 	k.m.kept.Pledged = false // as an earlier process left it at its clean end
-	k.view(keeping.View{Number: 1, Mail: []keeping.Letter{deal(3, word{Deal: &parts.Deal{Fence: 3, Round: 1}})}})
+	k.view(coordinator.View{Number: 1, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 1}})}})
 	k.tick(0.1)
 	r := k.take("keep")
 	if k.m.Kept(r.Seq, *r.Keep, nil); k.m.Stats.Pledges != 0 {
@@ -162,7 +162,7 @@
 		return false
 	}
 	k.tick(0.1)
-	k.view(keeping.View{Number: 1, Mail: []keeping.Letter{deal(3, word{Deal: &parts.Deal{Fence: 3, Round: 1}})}})
+	k.view(coordinator.View{Number: 1, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 1}})}})
 	for n := 0; k.m.Stats.Pledges == 0; n++ {
 		if n == 10 {
 			t.Fatal("it pledges nothing")
@@ -177,7 +177,7 @@
 	} else {
 		k.open = append(k.open, r)
 	}
-	k.view(keeping.View{Number: 2, Mail: []keeping.Letter{deal(3, word{Deal: &parts.Deal{Fence: 3, Round: 9}})}})
+	k.view(coordinator.View{Number: 2, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 9}})}})
 	before := k.m.Stats.Pledges
 	if k.tick(0.1); k.m.Stats.Pledges > before {
 		t.Error("it pledges while the disk is being told that nothing is pledged")
@@ -199,9 +199,9 @@
 	k := newTalk(t, Config{Clean: true})
 	k.tick(0.1)
 	work := cold.work(Warmth)
-	k.view(keeping.View{Number: 1, Mine: []keeping.Mine{{Claim: ownership.Claim{Work: work, Fence: 3}}}})
+	k.view(coordinator.View{Number: 1, Mine: []coordinator.Mine{{Claim: lease.Claim{Work: work, Fence: 3}}}})
 	k.tick(0.1)
-	k.m.Answer(k.now, k.take("beat").Seq, nil, record.ErrSuperseded)
+	k.m.Answer(k.now, k.take("beat").Seq, nil, registry.ErrSuperseded)
 	k.open = nil
 	k.tick(10)
 	if _, ok := k.m.May(k.now, work); ok || len(k.open) > 0 {
@@ -244,15 +244,15 @@
 				switch {
 				case r.Beat != nil:
 					number++
-					k.m.Answer(k.now, r.Seq, keeping.View{Number: number, Session: 5, Lease: 4, Drift: 0.05, Sessions: 1,
-						Mine: []keeping.Mine{{Claim: ownership.Claim{Work: PlanWork, Fence: 3}}}}, nil)
+					k.m.Answer(k.now, r.Seq, coordinator.View{Number: number, Session: 5, Lease: 4, Drift: 0.05, Sessions: 1,
+						Mine: []coordinator.Mine{{Claim: lease.Claim{Work: PlanWork, Fence: 3}}}}, nil)
 				case r.Act != nil:
 					var p failover.Published
 					if json.Unmarshal(r.Act.Body, &p) != nil {
 						t.Fatal(r.Act)
 					}
 					said = append(said, p)
-					k.m.Answer(k.now, r.Seq, keeping.Posted{}, answer)
+					k.m.Answer(k.now, r.Seq, coordinator.Posted{}, answer)
 				}
 			}
 		}
--- a/member/plan.go
+++ b/fleet/agent/plan.go
@@ -1,11 +1,11 @@
-package member
+package agent
 
 import (
 	"encoding/json"
 	"math"
 
-	"dunereach/failover"
-	"dunereach/keeping"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/failover"
 )
 
 // This file carries evidence to the owner of the fleet's plan, the owner's plans to the record, and what the record has to this
@@ -80,7 +80,7 @@
 	m.log("plan %d under fence %d: %s", p.Epoch, fence, p.Why)
 	m.publishing, m.said = true, p.Epoch
 	m.trace(Trace{What: "plan", Work: PlanWork, Fence: fence, At: now})
-	m.request(now, Request{Act: &keeping.Act{Kind: "note", Session: m.session, Work: PlanWork, Fence: fence, Body: packed(p)}}, sent{work: PlanWork, note: true})
+	m.request(now, Request{Act: &coordinator.Act{Kind: "note", Session: m.session, Work: PlanWork, Fence: fence, Body: packed(p)}}, sent{work: PlanWork, note: true})
 }
 
 // published tells what became of a plan. One that may or may not be agreed is no ground for the next step: it is started anew from
@@ -114,7 +114,7 @@
 }
 
 // planned takes what the record has of the plan and of the operators' words, as it was at least when it was asked for.
-func (m *Member) planned(asked float64, x keeping.Seen) {
+func (m *Member) planned(asked float64, x coordinator.Seen) {
 	if !m.doesPlans || len(x.Note) == 0 {
 		return
 	}
--- a/member/sorted.go
+++ b/fleet/agent/sorted.go
@@ -1,4 +1,4 @@
-package member
+package agent
 
 import (
 	"maps"
--- a/member/works.go
+++ b/fleet/agent/works.go
@@ -1,4 +1,4 @@
-package member
+package agent
 
 // This file does the works that are ours, and lays parts down for those of others.
 
@@ -7,11 +7,11 @@
 	"math"
 	"strings"
 
-	"dunereach/failover"
-	"dunereach/keeping"
-	"dunereach/ownership"
-	"dunereach/parts"
-	"dunereach/trials"
+	"dunereach/fleet/allocation"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/failover"
+	"dunereach/fleet/lease"
+	"dunereach/probing"
 )
 
 // own does the works that are ours. Each act asks at its moment whether the lease still runs.
@@ -30,7 +30,7 @@
 			continue
 		}
 		if w.dealer == nil || w.dealer.Fence() != c.Fence {
-			w.dealer, w.opened = parts.NewDealer(m.termsOf(c.Work), c.Fence, m.round, now), math.Inf(-1)
+			w.dealer, w.opened = allocation.NewDealer(m.termsOf(c.Work), c.Fence, m.round, now), math.Inf(-1)
 		}
 		// A deal counts from now on wherever it gets to, so nothing is to be taken off for its way.
 		now := m.at(now)
@@ -41,7 +41,7 @@
 		if now-w.opened >= every {
 			w.opened = now
 			m.trace(Trace{What: "act", Work: c.Work, Fence: fence, At: now, Until: m.owner.Until()})
-			d := parts.Deal{Fence: fence, Round: w.dealer.Open(now)}
+			d := allocation.Deal{Fence: fence, Round: w.dealer.Open(now)}
 			m.round = max(m.round, d.Round)
 			m.write(c.Work, fence, "*", word{Deal: &d})
 			w.holder.Hear(now, d)
@@ -57,7 +57,7 @@
 	}
 }
 
-func (m *Member) termsOf(work string) parts.Terms {
+func (m *Member) termsOf(work string) allocation.Terms {
 	if strings.HasPrefix(work, Quotas+"/") {
 		return m.quota
 	}
@@ -73,7 +73,7 @@
 }
 
 // find puts down what we found of an engine, where we know anything.
-func (m *Member) find(now float64, c ownership.Claim, x *trial) {
+func (m *Member) find(now float64, c lease.Claim, x *trial) {
 	if m.demand.Health == nil || now-x.noted < noteEvery {
 		return
 	}
@@ -87,21 +87,21 @@
 		return
 	}
 	x.noted, x.well = now, !h.Ill
-	body, _ := json.Marshal(trials.Finding{Engine: x.engine.ID, Start: x.engine.Start, Well: !h.Ill})
-	m.request(now, Request{Act: &keeping.Act{Kind: "note", Session: m.session, Work: c.Work, Fence: fence, Body: body}}, sent{work: c.Work, note: true})
+	body, _ := json.Marshal(probing.Finding{Engine: x.engine.ID, Start: x.engine.Start, Well: !h.Ill})
+	m.request(now, Request{Act: &coordinator.Act{Kind: "note", Session: m.session, Work: c.Work, Fence: fence, Body: body}}, sent{work: c.Work, note: true})
 }
 
 // word is a letter's body.
 type word struct {
-	Deal   *parts.Deal      `json:"deal,omitempty"`
-	For    uint64           `json:"for,omitempty"` // the incarnation that a deal answers
-	Pledge *parts.Pledge    `json:"pledge,omitempty"`
-	Report *failover.Report `json:"report,omitempty"`
+	Deal   *allocation.Deal   `json:"deal,omitempty"`
+	For    uint64             `json:"for,omitempty"` // the incarnation that a deal answers
+	Pledge *allocation.Pledge `json:"pledge,omitempty"`
+	Report *failover.Report   `json:"report,omitempty"`
 }
 
 func (m *Member) write(work string, fence uint64, to string, w word) {
 	body, _ := json.Marshal(w)
-	if m.letters = append(m.letters, keeping.Letter{Work: work, Fence: fence, To: to, Body: body}); len(m.letters) > 4*keeping.MostLetters {
+	if m.letters = append(m.letters, coordinator.Letter{Work: work, Fence: fence, To: to, Body: body}); len(m.letters) > 4*coordinator.MostLetters {
 		m.letters = m.letters[1:] // keepers are slow: the oldest are of least use
 	}
 }
--- a/parts/parts.go
+++ b/fleet/allocation/parts.go
@@ -1,10 +1,10 @@
-// Package parts moves parts of a whole between the members of a fleet by need: a cold engine's allowance, a tenant's quota. By
+// Package allocation moves parts of a whole between the members of a fleet by need: a cold engine's allowance, a tenant's quota. By
 // itself every member has the equal part. A member that pledges lays its equal part down for a time; the whole's owner deals
 // what was laid down to those that have use for it, for a time. The sum of what may be used never exceeds the whole, whoever
 // stops, restarts, or hears late: each side counts every length from a moment on its own clock that is surely early enough,
 // the owner a pledge from when it opened the round that the pledge answers, a member a deal from when it sent the pledge that
 // the deal answers.
-package parts
+package allocation
 
 import (
 	"cmp"
--- a/parts/parts_test.go
+++ b/fleet/allocation/parts_test.go
@@ -1,4 +1,4 @@
-package parts
+package allocation
 
 import (
 	"fmt"
--- a/keeping/desk.go
+++ b/fleet/coordinator/desk.go
@@ -1,4 +1,4 @@
-package keeping
+package coordinator
 
 import (
 	"encoding/binary"
@@ -8,8 +8,8 @@
 	"slices"
 	"strings"
 
-	"dunereach/ownership"
-	"dunereach/record"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
 
 	"go.etcd.io/raft/v3"
 )
@@ -26,7 +26,7 @@
 	askedAt  float64
 	assigns  map[string]bool // works whose owner is being agreed
 	wanted   map[string]want
-	passing  *ownership.Passing
+	passing  *lease.Passing
 	changing bool // of keepers
 	changeAt float64
 	giveUp   func()
@@ -75,7 +75,7 @@
 
 func newDesk() desk {
 	return desk{clients: map[uint64]*client{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, wanted: map[string]want{},
-		passing: ownership.NewPassing(), readAs: map[uint64]uint16{}}
+		passing: lease.NewPassing(), readAs: map[uint64]uint16{}}
 }
 
 func (k *Keeper) answer(request uint64, value any, err error) {
@@ -137,12 +137,12 @@
 		return fmt.Errorf("%d works are wanted, %d at most; %d kinds, %d at most", len(b.Wants), MostWants, len(b.Stands), MostStands)
 	}
 	for _, text := range [...]string{b.Name, b.Zone, b.Region} {
-		if err := record.CheckName(text); err != nil {
+		if err := registry.CheckName(text); err != nil {
 			return err
 		}
 	}
 	for _, w := range b.Wants {
-		if kind, _, ok := strings.Cut(w.Work, "/"); !ok || kind == "" || record.CheckName(w.Work) != nil || record.CheckName(w.Zone) != nil {
+		if kind, _, ok := strings.Cut(w.Work, "/"); !ok || kind == "" || registry.CheckName(w.Work) != nil || registry.CheckName(w.Zone) != nil {
 			return fmt.Errorf("%q is no work", w.Work)
 		}
 	}
@@ -208,7 +208,7 @@
 		c.unsure = max(c.unsure-1, 0)
 	}
 	if b.Highest > k.rec.Fence() { // the record is older than what was seen of it: nothing is decided below that
-		k.propose(record.Entry{Kind: record.Floor, Fence: b.Highest}, func(_ uint64, err error) {
+		k.propose(registry.Entry{Kind: registry.Floor, Fence: b.Highest}, func(_ uint64, err error) {
 			if err != nil {
 				k.answer(w.request, nil, err)
 				return
@@ -227,7 +227,7 @@
 		k.answer(w.request, nil, ErrSession)
 		return
 	case s.Superseded:
-		k.answer(w.request, nil, record.ErrSuperseded)
+		k.answer(w.request, nil, registry.ErrSuperseded)
 		return
 	}
 	if c == nil {
@@ -242,7 +242,7 @@
 		c.since = 0
 	}
 	// A session that hears nothing can't prove its lease: its works would be nobody's for as long as its beats come.
-	if lease, _ := k.rec.Terms(); c.since == 0 || k.now-c.since <= lease {
+	if duration, _ := k.rec.Terms(); c.since == 0 || k.now-c.since <= duration {
 		c.heard = max(c.heard, w.at)
 	}
 	c.stands, c.wants = b.Stands, b.Wants
@@ -273,7 +273,7 @@
 	if t, ok := k.tokens[b.Name]; !ok || t.number != b.Got || t.incarnation != b.Incarnation || k.now > t.at+patience {
 		k.views++
 		t = token{number: k.term<<32 | k.views, incarnation: b.Incarnation, at: k.now}
-		if len(k.tokens) >= record.MostSessions {
+		if len(k.tokens) >= registry.MostSessions {
 			clear(k.tokens) // who was asked is asked again
 		}
 		k.tokens[b.Name] = t
@@ -286,7 +286,7 @@
 		return
 	}
 	k.opening[b.Name] = true
-	k.propose(record.Entry{Kind: record.Open, Name: b.Name, Incarnation: b.Incarnation, Zone: b.Zone, Region: b.Region},
+	k.propose(registry.Entry{Kind: registry.Open, Name: b.Name, Incarnation: b.Incarnation, Zone: b.Zone, Region: b.Region},
 		func(_ uint64, err error) {
 			delete(k.opening, b.Name)
 			if err != nil {
@@ -306,7 +306,7 @@
 		return
 	}
 	k.tended = k.now
-	lease, _ := k.rec.Terms()
+	duration, _ := k.rec.Terms()
 	for _, s := range k.rec.Sessions() {
 		c := k.clients[s.ID]
 		last := k.led
@@ -316,7 +316,7 @@
 				continue
 			}
 		}
-		if k.now-last <= lease {
+		if k.now-last <= duration {
 			continue
 		}
 		if c == nil {
@@ -353,12 +353,12 @@
 }
 
 func (k *Keeper) end(id uint64) {
-	k.propose(record.Entry{Kind: record.Close, Session: id}, func(_ uint64, err error) {
+	k.propose(registry.Entry{Kind: registry.Close, Session: id}, func(_ uint64, err error) {
 		c := k.clients[id]
 		if c == nil {
 			return
 		}
-		if err != nil && err != record.ErrNoSession {
+		if err != nil && err != registry.ErrNoSession {
 			c.ending = false
 			return
 		}
--- a/keeping/group.go
+++ b/fleet/coordinator/group.go
@@ -1,4 +1,4 @@
-package keeping
+package coordinator
 
 // This file changes the group of keepers, and carries operators' words.
 
@@ -6,7 +6,7 @@
 	"fmt"
 	"slices"
 
-	"dunereach/record"
+	"dunereach/fleet/registry"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 )
@@ -21,7 +21,7 @@
 		return
 	}
 	k.readAs[id] = version
-	k.propose(record.Entry{Kind: record.Keep, Keeper: id, Name: x.Name, Addr: x.Addr, Zone: x.Zone, Reads: version, Started: true},
+	k.propose(registry.Entry{Kind: registry.Keep, Keeper: id, Name: x.Name, Addr: x.Addr, Zone: x.Zone, Reads: version, Started: true},
 		func(_ uint64, err error) {
 			if err != nil {
 				delete(k.readAs, id)
@@ -38,19 +38,19 @@
 	}
 	switch o.Kind {
 	case "release":
-		k.propose(record.Entry{Kind: record.Ask, Work: o.Work}, func(_ uint64, err error) { k.answer(request, Posted{}, err) })
+		k.propose(registry.Entry{Kind: registry.Ask, Work: o.Work}, func(_ uint64, err error) { k.answer(request, Posted{}, err) })
 	case "say":
-		k.propose(record.Entry{Kind: record.Say, Work: o.Work, Body: o.Body}, func(_ uint64, err error) { k.answer(request, Posted{}, err) })
+		k.propose(registry.Entry{Kind: registry.Say, Work: o.Work, Body: o.Body}, func(_ uint64, err error) { k.answer(request, Posted{}, err) })
 	case "join":
 		k.join(request, o)
 	case "leave":
 		for _, x := range k.rec.Keepers() {
 			if x.Name == o.Name {
-				k.change(pb.ConfChangeRemoveNode, record.Entry{Kind: record.Unkeep, Keeper: x.ID}, func(err error) { k.answer(request, Posted{}, err) })
+				k.change(pb.ConfChangeRemoveNode, registry.Entry{Kind: registry.Unkeep, Keeper: x.ID}, func(err error) { k.answer(request, Posted{}, err) })
 				return
 			}
 		}
-		k.answer(request, nil, record.ErrKeeper)
+		k.answer(request, nil, registry.ErrKeeper)
 	default:
 		k.answer(request, nil, fmt.Errorf("%w: no order is called %q", ErrBad, o.Kind))
 	}
@@ -71,7 +71,7 @@
 			k.answer(request, x.ID, nil) // it asks again
 			return
 		}
-		k.change(pb.ConfChangeRemoveNode, record.Entry{Kind: record.Unkeep, Keeper: x.ID}, func(err error) {
+		k.change(pb.ConfChangeRemoveNode, registry.Entry{Kind: registry.Unkeep, Keeper: x.ID}, func(err error) {
 			if err != nil {
 				k.answer(request, nil, err)
 				return
@@ -82,17 +82,17 @@
 		return
 	}
 	id := k.rec.NextKeeper()
-	k.change(pb.ConfChangeAddLearnerNode, record.Entry{Kind: record.Keep, Keeper: id, Name: o.Name, Addr: o.Addr, Zone: o.Zone},
+	k.change(pb.ConfChangeAddLearnerNode, registry.Entry{Kind: registry.Keep, Keeper: id, Name: o.Name, Addr: o.Addr, Zone: o.Zone},
 		func(err error) { k.answer(request, id, err) })
 }
 
 // change of the keepers' group: one at a time, agreed like any entry.
-func (k *Keeper) change(kind pb.ConfChangeType, e record.Entry, done func(error)) {
+func (k *Keeper) change(kind pb.ConfChangeType, e registry.Entry, done func(error)) {
 	if k.changing {
 		done(ErrBusy)
 		return
 	}
-	e.Version = record.Version
+	e.Version = registry.Version
 	text, err := e.Marshal()
 	if err != nil {
 		done(err)
@@ -126,7 +126,7 @@
 	for id, p := range k.node.Status().Progress {
 		x := k.rec.Keeper(id)
 		if p.IsLearner && p.RecentActive && x != nil && p.Match+near > k.applied {
-			k.change(pb.ConfChangeAddNode, record.Entry{Kind: record.Keep, Keeper: id, Name: x.Name, Addr: x.Addr, Zone: x.Zone},
+			k.change(pb.ConfChangeAddNode, registry.Entry{Kind: registry.Keep, Keeper: id, Name: x.Name, Addr: x.Addr, Zone: x.Zone},
 				func(err error) { k.log("keeper %d has a vote now: %v", id, err) })
 			return
 		}
--- a/keeping/keeper.go
+++ b/fleet/coordinator/keeper.go
@@ -1,7 +1,7 @@
-// Package keeping is one keeper of the fleet's record: raft (a library that is a state machine itself), the record, and what
+// Package coordinator is one keeper of the fleet's record: raft (a library that is a state machine itself), the record, and what
 // the leader alone knows: when each session was last heard. It does no I/O: a driver gives it time, messages and requests, and
 // carries out what it puts out. The same package runs on virtual time.
-package keeping
+package coordinator
 
 import (
 	"encoding/binary"
@@ -9,7 +9,7 @@
 	"fmt"
 	"slices"
 
-	"dunereach/record"
+	"dunereach/fleet/registry"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -46,8 +46,8 @@
 }
 
 // Begin is what every keeper of a new record stores first.
-func Begin(keepers []record.Keeper, lease, drift float64) (Stored, error) {
-	r, err := record.Begin(keepers, lease, drift)
+func Begin(keepers []registry.Keeper, lease, drift float64) (Stored, error) {
+	r, err := registry.Begin(keepers, lease, drift)
 	if err != nil {
 		return Stored{}, err
 	}
@@ -101,7 +101,7 @@
 	cfg  Config
 	node *raft.RawNode
 	mem  *raft.MemoryStorage
-	rec  *record.Record
+	rec  *registry.Record
 	now  float64
 
 	conf     *pb.ConfState
@@ -126,7 +126,7 @@
 
 // New keeper on what its disk has.
 func New(cfg Config, stored Stored, now float64) (*Keeper, error) {
-	k := &Keeper{cfg: cfg, mem: raft.NewMemoryStorage(), rec: record.New(), now: now, tickAt: now, conf: &pb.ConfState{},
+	k := &Keeper{cfg: cfg, mem: raft.NewMemoryStorage(), rec: registry.New(), now: now, tickAt: now, conf: &pb.ConfState{},
 		pending: map[uint64]func(uint64, error){}, noted: map[string]float64{}, desk: newDesk()}
 	if s := stored.Snapshot; s != nil && s.GetMetadata().GetIndex() > 0 {
 		if err := k.restore(s); err != nil {
@@ -154,7 +154,7 @@
 }
 
 func (k *Keeper) restore(s *pb.Snapshot) error {
-	r, err := record.Restore(s.GetData())
+	r, err := registry.Restore(s.GetData())
 	if err != nil {
 		return err
 	}
@@ -164,7 +164,7 @@
 }
 
 // Record as it is here: what is agreed, up to what this keeper has heard.
-func (k *Keeper) Record() *record.Record { return k.rec }
+func (k *Keeper) Record() *registry.Record { return k.rec }
 
 // Leads tells whether it leads and may answer.
 func (k *Keeper) Leads() bool { return k.leads && k.settled }
@@ -232,7 +232,7 @@
 	}
 	if k.leads, k.term, k.settled = leads, term, false; leads {
 		// Its first entry: once it is agreed, all that earlier leaders had agreed is known here.
-		k.propose(record.Entry{Kind: record.Nothing}, func(_ uint64, err error) {
+		k.propose(registry.Entry{Kind: registry.Nothing}, func(_ uint64, err error) {
 			if err == nil {
 				k.settled, k.led = true, k.now
 				k.lead()
@@ -259,10 +259,10 @@
 }
 
 // propose has an entry agreed; done is told what it did once it is applied here, or that nobody knows.
-func (k *Keeper) propose(e record.Entry, done func(fence uint64, err error)) {
-	e.Version = record.Version
+func (k *Keeper) propose(e registry.Entry, done func(fence uint64, err error)) {
+	e.Version = registry.Version
 	if e.Version > k.rec.Reads() { // a keeper that can't read it would have to stop
-		done(0, fmt.Errorf("%w: some keeper reads up to version %d only", record.ErrUnknown, k.rec.Reads()))
+		done(0, fmt.Errorf("%w: some keeper reads up to version %d only", registry.ErrUnknown, k.rec.Reads()))
 		return
 	}
 	text, err := e.Marshal()
@@ -375,15 +375,15 @@
 	if len(data) < headBytes {
 		return errors.New("an entry that is none")
 	}
-	entry, err := record.Parse(data[headBytes:])
+	entry, err := registry.Parse(data[headBytes:])
 	var fence uint64
 	if err == nil {
 		fence, err = k.rec.Apply(index, entry)
 	}
-	if errors.Is(err, record.ErrUnknown) {
+	if errors.Is(err, registry.ErrUnknown) {
 		return err // others may have understood it: going on would part from them
 	}
-	if entry.Kind == record.Note && err == nil {
+	if entry.Kind == registry.Note && err == nil {
 		k.noted[entry.Work] = k.now
 	}
 	if binary.BigEndian.Uint64(data) == k.cfg.ID {
--- a/keeping/keeping_test.go
+++ b/fleet/coordinator/keeping_test.go
@@ -1,4 +1,4 @@
-package keeping
+package coordinator
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"log"
 	"testing"
 
-	"dunereach/record"
+	"dunereach/fleet/registry"
 
 	"go.etcd.io/raft/v3"
 )
@@ -21,7 +21,7 @@
 }
 
 func newLone(t *testing.T) *lone {
-	stored, err := Begin([]record.Keeper{{ID: 1, Name: "k1", Addr: "127.0.0.1:1"}}, 2, 0.05)
+	stored, err := Begin([]registry.Keeper{{ID: 1, Name: "k1", Addr: "127.0.0.1:1"}}, 2, 0.05)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,7 +107,7 @@
 	if w := l.k.Record().Work("w/1"); w.Owner != old.Session || w.Fence != fence {
 		t.Fatalf("the old one's work is session %d's", w.Owner)
 	}
-	if _, err := l.beat(old); !errors.Is(err, record.ErrSuperseded) {
+	if _, err := l.beat(old); !errors.Is(err, registry.ErrSuperseded) {
 		t.Fatalf("the old one's beat: %v", err)
 	}
 	for range 20 {
--- a/keeping/views.go
+++ b/fleet/coordinator/views.go
@@ -1,4 +1,4 @@
-package keeping
+package coordinator
 
 // This file is what sessions get to see: works and their owners, letters.
 
@@ -10,8 +10,8 @@
 	"slices"
 	"strings"
 
-	"dunereach/ownership"
-	"dunereach/record"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
 )
 
 func (c *client) wantsWork(name string) bool {
@@ -24,8 +24,8 @@
 		return
 	}
 	const keepAs = 3.0 // seconds that a want counts without being said again
-	lease, _ := k.rec.Terms()
-	var all []ownership.Candidate
+	duration, _ := k.rec.Terms()
+	var all []lease.Candidate
 	stands := map[uint64][]string{}
 	for _, name := range slices.Sorted(maps.Keys(k.wanted)) {
 		w := k.wanted[name]
@@ -39,26 +39,26 @@
 			}
 			for _, id := range k.ids() {
 				c := k.clients[id]
-				if s := k.rec.Session(id); s != nil && !s.Superseded && !c.ending && c.held != nil && k.now-c.heard < lease/2 && c.since == 0 {
-					all = append(all, ownership.Candidate{Session: id, Name: c.name, Zone: s.Zone, Works: owns[id]})
+				if s := k.rec.Session(id); s != nil && !s.Superseded && !c.ending && c.held != nil && k.now-c.heard < duration/2 && c.since == 0 {
+					all = append(all, lease.Candidate{Session: id, Name: c.name, Zone: s.Zone, Works: owns[id]})
 					stands[id] = c.stands
 				}
 			}
 		}
 		kind, _, _ := strings.Cut(name, "/")
-		var able []ownership.Candidate
+		var able []lease.Candidate
 		for _, c := range all { // one that has no use for it would let go of it at once
 			if slices.Contains(stands[c.Session], kind) && k.clients[c.Session].wantsWork(name) {
 				able = append(able, c)
 			}
 		}
-		n := ownership.Choose(able, name, w.zone, func(name string) bool { return k.passing.Over(k.now, name) })
+		n := lease.Choose(able, name, w.zone, func(name string) bool { return k.passing.Over(k.now, name) })
 		if n < 0 {
 			continue
 		}
 		chosen := able[n]
 		k.assigns[name] = true
-		k.propose(record.Entry{Kind: record.Assign, Work: name, Session: chosen.Session, Zone: w.zone}, func(fence uint64, err error) {
+		k.propose(registry.Entry{Kind: registry.Assign, Work: name, Session: chosen.Session, Zone: w.zone}, func(fence uint64, err error) {
 			delete(k.assigns, name)
 			if err == nil {
 				k.log("work %q fence %d: its owner is %q", name, fence, chosen.Name)
@@ -79,7 +79,7 @@
 		if _, ok := k.wanted[w.Name]; !ok && w.Owner == 0 && len(w.Note) == 0 && k.now-k.led > long && !k.assigns[w.Name] {
 			name := w.Name
 			k.assigns[name] = true
-			k.propose(record.Entry{Kind: record.Drop, Work: name}, func(uint64, error) { delete(k.assigns, name) })
+			k.propose(registry.Entry{Kind: registry.Drop, Work: name}, func(uint64, error) { delete(k.assigns, name) })
 		}
 	}
 }
@@ -124,19 +124,19 @@
 }
 
 func (k *Keeper) show(id uint64, c *client) {
-	lease, drift := k.rec.Terms()
+	duration, drift := k.rec.Terms()
 	k.views++
 	sessions, _ := k.rec.Size()
-	v := View{Number: k.term<<32 | k.views, Session: id, Lease: lease, Drift: drift, Sessions: sessions, Fence: k.rec.Fence(), Mail: c.box}
+	v := View{Number: k.term<<32 | k.views, Session: id, Lease: duration, Drift: drift, Sessions: sessions, Fence: k.rec.Fence(), Mail: c.box}
 	c.box = nil
 	// To one that has heard nothing for a lease its works are not confirmed: its beats no longer count, so they may be another's
 	// before this answer has had its effect. It hears of them again when it has said that it heard this.
-	deaf := c.since != 0 && k.now-c.since > lease
+	deaf := c.since != 0 && k.now-c.since > duration
 	for _, w := range k.rec.Owned(id) {
 		if deaf {
 			break
 		}
-		v.Mine = append(v.Mine, Mine{ownership.Claim{Work: w.Name, Fence: w.Fence}, w.Asked})
+		v.Mine = append(v.Mine, Mine{lease.Claim{Work: w.Name, Fence: w.Fence}, w.Asked})
 	}
 	for _, x := range c.wants {
 		w := k.rec.Work(x.Work)
@@ -172,7 +172,7 @@
 		k.answer(request, nil, ErrSession)
 		return
 	case s.Superseded:
-		k.answer(request, nil, record.ErrSuperseded)
+		k.answer(request, nil, registry.ErrSuperseded)
 		return
 	case len(m.Letters) > MostLetters:
 		k.answer(request, nil, fmt.Errorf("%w: %d letters, %d at most", ErrBad, len(m.Letters), MostLetters))
@@ -191,8 +191,8 @@
 		}
 		if w.Owner != s.ID || w.Fence != l.Fence {
 			k.Refused++
-			if !slices.Contains(p.Old, ownership.Mark{Work: l.Work, Fence: w.Fence}) {
-				p.Old = append(p.Old, ownership.Mark{Work: l.Work, Fence: w.Fence})
+			if !slices.Contains(p.Old, lease.Mark{Work: l.Work, Fence: w.Fence}) {
+				p.Old = append(p.Old, lease.Mark{Work: l.Work, Fence: w.Fence})
 			}
 			continue
 		}
@@ -231,24 +231,24 @@
 		k.answer(request, nil, ErrElsewhere)
 		return
 	}
-	e := record.Entry{Session: a.Session, Work: a.Work, Fence: a.Fence}
+	e := registry.Entry{Session: a.Session, Work: a.Work, Fence: a.Fence}
 	switch a.Kind {
 	case "release":
-		e.Kind = record.Release
+		e.Kind = registry.Release
 	case "note":
-		e.Kind, e.Body = record.Note, a.Body
+		e.Kind, e.Body = registry.Note, a.Body
 	case "close":
-		e = record.Entry{Kind: record.Close, Session: a.Session}
+		e = registry.Entry{Kind: registry.Close, Session: a.Session}
 	default:
 		k.answer(request, nil, fmt.Errorf("%w: no act is called %q", ErrBad, a.Kind))
 		return
 	}
 	k.propose(e, func(fence uint64, err error) {
-		if err == record.ErrFence {
+		if err == registry.ErrFence {
 			k.Refused++
 		}
-		if err == record.ErrFence && fence > 0 {
-			err = &ownership.Old{Work: a.Work, Fence: a.Fence, Highest: fence}
+		if err == registry.ErrFence && fence > 0 {
+			err = &lease.Old{Work: a.Work, Fence: a.Fence, Highest: fence}
 		}
 		k.answer(request, Posted{}, err)
 	})
--- a/keeping/words.go
+++ b/fleet/coordinator/words.go
@@ -1,8 +1,8 @@
-package keeping
+package coordinator
 
-import "dunereach/ownership"
+import "dunereach/fleet/lease"
 
-// What sessions and keepers say to each other. They travel as JSON (internal/keeper); here they are plain values.
+// What sessions and keepers say to each other. They travel as JSON (internal/coordserver); here they are plain values.
 
 // Beat is a session's word that it lives, and what it wants. The answer, a View, is held until there is news.
 type Beat struct {
@@ -38,7 +38,7 @@
 
 // Mine is a work that the session owns.
 type Mine struct {
-	ownership.Claim
+	lease.Claim
 	Asked bool `json:"asked,omitempty"` // an operator asks it to let go
 }
 
@@ -71,7 +71,7 @@
 
 // Posted tells what became of mail: works whose letters were refused as the sender is not the owner, with the fence of now.
 type Posted struct {
-	Old []ownership.Mark `json:"old,omitempty"`
+	Old []lease.Mark `json:"old,omitempty"`
 }
 
 // Act is something that a session wants agreed.
--- a/ownership/choose.go
+++ b/fleet/lease/choose.go
@@ -1,4 +1,4 @@
-package ownership
+package lease
 
 import (
 	"math"
--- a/ownership/owner.go
+++ b/fleet/lease/owner.go
@@ -1,6 +1,6 @@
-// Package ownership decides what an owner of the fleet's work may believe and what a receiver of its acts may accept. It knows
+// Package lease decides what an owner of the fleet's work may believe and what a receiver of its acts may accept. It knows
 // no clock: every time is a reading of the calling process's own, in seconds, which counts on while the process is stopped.
-package ownership
+package lease
 
 import (
 	"fmt"
--- a/record/entry.go
+++ b/fleet/registry/entry.go
@@ -1,4 +1,4 @@
-package record
+package registry
 
 import (
 	"errors"
--- a/record/record.go
+++ b/fleet/registry/record.go
@@ -1,7 +1,7 @@
-// Package record is what the processes of a fleet agree on: who has a session, which work has which owner under which fence,
+// Package registry is what the processes of a fleet agree on: who has a session, which work has which owner under which fence,
 // and what owners have put down under theirs. It is a state machine that knows no clock, disk or network: the same entries in
 // the same order give the same record on every process.
-package record
+package registry
 
 import (
 	"cmp"
--- a/internal/fleet/link.go
+++ b/internal/agentdriver/link.go
@@ -1,6 +1,6 @@
-// Package fleet drives a router's part in the fleet (package member): it carries its requests to the keepers and their answers
+// Package agentdriver drives a router's part in the fleet (package member): it carries its requests to the keepers and their answers
 // back, and keeps what must outlive the process. The owner's goroutine never waits for any of it.
-package fleet
+package agentdriver
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 	"math/rand/v2"
 	"time"
 
-	"dunereach/brain"
-	"dunereach/failover"
+	"dunereach/admission"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/failover"
+	"dunereach/fleet/lease"
 	"dunereach/internal/boottime"
 	"dunereach/internal/config"
-	"dunereach/internal/keeper"
-	"dunereach/keeping"
-	"dunereach/member"
-	"dunereach/ownership"
+	"dunereach/internal/coordserver"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -30,20 +30,20 @@
 // Driver carries a member's requests to the keepers and their answers back. The member is one goroutine's, which calls what
 // comes by News.
 type Driver struct {
-	M      *member.Member
-	client *keeper.Client
+	M      *agent.Member
+	client *coordserver.Client
 	vault  *vault
 	news   chan func()
-	work   chan member.Request
+	work   chan agent.Request
 }
 
 // NewDriver over a client; the vault may be nil.
-func newDriver(m *member.Member, c *keeper.Client, v *vault) *Driver {
-	return &Driver{M: m, client: c, vault: v, news: make(chan func(), waiting), work: make(chan member.Request, waiting)}
+func newDriver(m *agent.Member, c *coordserver.Client, v *vault) *Driver {
+	return &Driver{M: m, client: c, vault: v, news: make(chan func(), waiting), work: make(chan agent.Request, waiting)}
 }
 
 // NewDriver of a member that keeps nothing.
-func NewDriver(m *member.Member, c *keeper.Client) *Driver { return newDriver(m, c, nil) }
+func NewDriver(m *agent.Member, c *coordserver.Client) *Driver { return newDriver(m, c, nil) }
 
 // Link is the part. All its methods but Run's goroutines are the owner's goroutine's.
 type Link struct {
@@ -51,7 +51,7 @@
 	log    *zap.Logger
 	zones  []string
 	ahead  float64 // of the router's clock: the one that leases are counted on
-	last   member.Stats
+	last   agent.Stats
 	lastAt float64
 }
 
@@ -65,9 +65,9 @@
 	}
 	works := f.Works
 	if len(works) == 0 {
-		works = []string{member.Warmth, member.Trials, member.Quotas, member.Plans}
+		works = []string{agent.Warmth, agent.Trials, agent.Quotas, agent.Plans}
 	}
-	var kept member.Kept
+	var kept agent.Kept
 	var v *vault
 	if f.Folder != "" {
 		var err error
@@ -79,17 +79,17 @@
 		}
 	}
 	const digits = 1<<52 - 1 // so that any reader of JSON gets it whole
-	var trace func(member.Trace)
+	var trace func(agent.Trace)
 	if f.Trace {
-		trace = func(t member.Trace) {
+		trace = func(t agent.Trace) {
 			log.Info("trace "+t.What+" "+t.Work, zap.String("what", t.What), zap.String("work", t.Work), zap.Uint64("fence", t.Fence),
 				zap.Float64("part", t.Part), zap.Float64("at", t.At), zap.Float64("until", t.Until))
 		}
 	}
-	m := member.New(member.Config{Zones: len(l.zones), ZoneNames: l.zones, ZoneNumber: cfg.Settings.Brain.Zone, Way: ways(l.zones, f.Regions), Name: cfg.Name, Tenants: cfg.Settings.Tenants, Zone: zone, Region: f.Region, Incarnation: rand.Uint64()&digits | 1, Seed: rand.Uint64(),
+	m := agent.New(agent.Config{Zones: len(l.zones), ZoneNames: l.zones, ZoneNumber: cfg.Settings.Brain.Zone, Way: ways(l.zones, f.Regions), Name: cfg.Name, Tenants: cfg.Settings.Tenants, Zone: zone, Region: f.Region, Incarnation: rand.Uint64()&digits | 1, Seed: rand.Uint64(),
 		Stands: works, Members: max(cfg.Settings.Brain.Routers, 1), Window: cfg.Settings.Brain.FallWindow, Began: boottime.Now(),
 		Keeps: v != nil, Now: boottime.Now, Trace: trace, Log: func(text string) { log.Info(text) }}, kept)
-	l.Driver = newDriver(m, keeper.NewClient(f.Keepers, f.From), v)
+	l.Driver = newDriver(m, coordserver.NewClient(f.Keepers, f.From), v)
 	return l, nil
 }
 
@@ -119,7 +119,7 @@
 }
 
 // Plan that the module follows, nil: none.
-func (l *Link) Plan() brain.Plan {
+func (l *Link) Plan() admission.Plan {
 	if l.M.Guide() == nil {
 		return nil
 	}
@@ -164,7 +164,7 @@
 }
 
 // carry one request to the keepers, or to the disk, and its answer back.
-func (l *Driver) carry(ctx context.Context, r member.Request) {
+func (l *Driver) carry(ctx context.Context, r agent.Request) {
 	if r.Keep != nil {
 		err := l.vault.keep(*r.Keep)
 		l.tell(ctx, func() { l.M.Kept(r.Seq, *r.Keep, err) })
@@ -176,17 +176,17 @@
 	var err error
 	switch {
 	case r.Beat != nil:
-		var v keeping.View
+		var v coordinator.View
 		err = l.client.Call(ask, "/v1/beat", r.Beat, &v)
 		value = v
 	case r.Mail != nil:
-		var p keeping.Posted
+		var p coordinator.Posted
 		err = l.client.Call(ask, "/v1/mail", r.Mail, &p)
 		value = p
 	case r.Act != nil:
-		var p keeping.Posted
+		var p coordinator.Posted
 		err = l.client.Call(ask, "/v1/act", r.Act, &p)
-		var old *ownership.Old
+		var old *lease.Old
 		if errors.As(err, &old) {
 			old.Fence = r.Act.Fence
 		}
@@ -206,15 +206,15 @@
 }
 
 // Put requests on their way; one that finds no room got no answer.
-func (l *Driver) Put(all []member.Request) {
+func (l *Driver) Put(all []agent.Request) {
 	for _, r := range all {
 		select {
 		case l.work <- r:
 		default:
 			if r.Keep != nil {
-				l.M.Kept(r.Seq, *r.Keep, member.ErrNoAnswer)
+				l.M.Kept(r.Seq, *r.Keep, agent.ErrNoAnswer)
 			} else {
-				l.M.Answer(boottime.Now(), r.Seq, nil, member.ErrNoAnswer)
+				l.M.Answer(boottime.Now(), r.Seq, nil, agent.ErrNoAnswer)
 			}
 		}
 	}
@@ -224,31 +224,31 @@
 func (l *Driver) News() <-chan func() { return l.news }
 
 // Tick tells the fleet what the module has use for, and lets time pass.
-func (l *Link) Tick(now float64, mind *brain.Brain) {
+func (l *Link) Tick(now float64, mind *admission.Brain) {
 	mine := boottime.Now()
 	l.ahead = mine - now
-	var d member.Demand
-	engine := func(id uint32, zone int, start float64) member.Engine {
-		e := member.Engine{ID: id, Start: start}
+	var d agent.Demand
+	engine := func(id uint32, zone int, start float64) agent.Engine {
+		e := agent.Engine{ID: id, Start: start}
 		if zone >= 0 && zone < len(l.zones) {
 			e.Zone = l.zones[zone]
 		}
 		return e
 	}
-	mind.Needs(now, brain.Use{
+	mind.Needs(now, admission.Use{
 		Cold: func(id uint32, zone int, start, need, least float64) {
-			d.Cold = append(d.Cold, member.Cold{Engine: engine(id, zone, start), Need: need, Least: least})
+			d.Cold = append(d.Cold, agent.Cold{Engine: engine(id, zone, start), Need: need, Least: least})
 		},
 		Doubted: func(id uint32, zone int, start float64) {
-			d.Doubted = append(d.Doubted, member.Health{Engine: engine(id, zone, start)})
+			d.Doubted = append(d.Doubted, agent.Health{Engine: engine(id, zone, start)})
 		},
 		Tenant: func(tenant int, need float64) {
-			d.Tenants = append(d.Tenants, member.Tenant{Number: tenant, Need: need})
+			d.Tenants = append(d.Tenants, agent.Tenant{Number: tenant, Need: need})
 		},
 	})
-	d.Health = func(id uint32) (member.Health, bool) {
+	d.Health = func(id uint32) (agent.Health, bool) {
 		start, ill, heard, ok := mind.Health(id)
-		return member.Health{Engine: member.Engine{ID: id, Start: start}, Ill: ill, Heard: heard}, ok
+		return agent.Health{Engine: agent.Engine{ID: id, Start: start}, Ill: ill, Heard: heard}, ok
 	}
 	d.Report = func() failover.Report { return mind.Report(now, len(l.zones)) }
 	l.M.Tell(mine, d)
--- a/internal/fleet/plan.go
+++ b/internal/agentdriver/plan.go
@@ -1,4 +1,4 @@
-package fleet
+package agentdriver
 
 import (
 	"context"
@@ -10,19 +10,19 @@
 	"slices"
 	"text/tabwriter"
 
-	"dunereach/failover"
-	"dunereach/internal/keeper"
-	"dunereach/keeping"
-	"dunereach/member"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/failover"
+	"dunereach/internal/coordserver"
 
 	"github.com/spf13/cobra"
 )
 
 // planWords is what operators see of the fleet's plan, and say of it.
-func planWords(root *cobra.Command, asJSON *bool, client func(*cobra.Command) (*keeper.Client, context.Context, context.CancelFunc, error)) {
+func planWords(root *cobra.Command, asJSON *bool, client func(*cobra.Command) (*coordserver.Client, context.Context, context.CancelFunc, error)) {
 	// agreed is the plan and the operators' words on it, as the record has them.
-	agreed := func(k *keeper.Client, ctx context.Context) (p failover.Published, o failover.Orders, err error) {
-		var picture keeper.Picture
+	agreed := func(k *coordserver.Client, ctx context.Context) (p failover.Published, o failover.Orders, err error) {
+		var picture coordserver.Picture
 		if err = k.Call(ctx, "/v1/record", nil, &picture); err != nil {
 			return p, o, err
 		}
@@ -30,9 +30,9 @@
 		for _, w := range picture.Works {
 			switch {
 			case len(w.Note) == 0:
-			case w.Name == member.PlanWork:
+			case w.Name == agent.PlanWork:
 				found, err = true, json.Unmarshal(w.Note, &p)
-			case w.Name == member.WordsWork:
+			case w.Name == agent.WordsWork:
 				err = json.Unmarshal(w.Note, &o)
 			}
 			if err != nil {
@@ -107,7 +107,7 @@
 			if err != nil {
 				return err
 			}
-			if err := k.Call(ctx, "/v1/order", keeping.Order{Kind: "say", Work: member.WordsWork, Body: body}, &keeping.Posted{}); err != nil {
+			if err := k.Call(ctx, "/v1/order", coordinator.Order{Kind: "say", Work: agent.WordsWork, Body: body}, &coordinator.Posted{}); err != nil {
 				return err
 			}
 			_, err = fmt.Fprintln(c.OutOrStdout(), "agreed")
--- a/internal/fleet/vault.go
+++ b/internal/agentdriver/vault.go
@@ -1,4 +1,4 @@
-package fleet
+package agentdriver
 
 import (
 	"encoding/binary"
@@ -7,7 +7,7 @@
 	"os"
 	"path/filepath"
 
-	"dunereach/member"
+	"dunereach/fleet/agent"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -26,8 +26,8 @@
 
 // openVault reads what an earlier process of the name left. Nothing there is not the word of a clean end: a folder may be lost,
 // and then a part may still be laid down.
-func openVault(folder, name string) (*vault, member.Kept, error) {
-	unknown := member.Kept{Pledged: true}
+func openVault(folder, name string) (*vault, agent.Kept, error) {
+	unknown := agent.Kept{Pledged: true}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, unknown, fmt.Errorf("/fleet/folder: %v", err)
 	}
@@ -45,7 +45,7 @@
 	if errors.Is(err, os.ErrNotExist) {
 		return v, unknown, nil
 	}
-	var k member.Kept
+	var k agent.Kept
 	if err == nil {
 		k, err = parseKept(text)
 	}
@@ -56,7 +56,7 @@
 	return v, k, nil
 }
 
-func parseKept(text []byte) (k member.Kept, err error) {
+func parseKept(text []byte) (k agent.Kept, err error) {
 	if len(text) < len(magic)+8 || string(text[:len(magic)]) != magic {
 		return k, errors.New("it is no file of fences")
 	}
@@ -67,7 +67,7 @@
 	return k, cbor.Unmarshal(body, &k)
 }
 
-func (v *vault) keep(k member.Kept) error {
+func (v *vault) keep(k agent.Kept) error {
 	body, err := cbor.Marshal(k)
 	if err != nil {
 		return err
--- a/internal/fleet/words.go
+++ b/internal/agentdriver/words.go
@@ -1,4 +1,4 @@
-package fleet
+package agentdriver
 
 import (
 	"context"
@@ -9,10 +9,10 @@
 	"text/tabwriter"
 	"time"
 
-	"dunereach/internal/keeper"
+	"dunereach/fleet/coordinator"
+	"dunereach/internal/coordserver"
+	"dunereach/internal/netaddr"
 	"dunereach/internal/operator"
-	"dunereach/internal/private"
-	"dunereach/keeping"
 
 	"github.com/spf13/cobra"
 )
@@ -27,7 +27,7 @@
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.PersistentFlags().StringSliceVar(&addrs, "keepers", nil, "addresses and ports of the keepers")
 	root.PersistentFlags().BoolVar(&asJSON, "json", false, "print JSON")
-	client := func(c *cobra.Command) (*keeper.Client, context.Context, context.CancelFunc, error) {
+	client := func(c *cobra.Command) (*coordserver.Client, context.Context, context.CancelFunc, error) {
 		if len(addrs) == 0 {
 			path, _ := c.Flags().GetString("operator")
 			f, err := operator.Load(path, func([]byte) error { return nil })
@@ -40,21 +40,21 @@
 			addrs = f.Fleet.Keepers
 		}
 		for _, a := range addrs {
-			if err := private.Check(a); err != nil {
+			if err := netaddr.Check(a); err != nil {
 				return nil, nil, nil, err
 			}
 		}
 		ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
-		return keeper.NewClient(addrs, ""), ctx, cancel, nil
+		return coordserver.NewClient(addrs, ""), ctx, cancel, nil
 	}
-	see := func(use, short string, print func(io.Writer, keeper.Picture)) {
+	see := func(use, short string, print func(io.Writer, coordserver.Picture)) {
 		root.AddCommand(&cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			k, ctx, cancel, err := client(c)
 			if err != nil {
 				return err
 			}
 			defer cancel()
-			var p keeper.Picture
+			var p coordserver.Picture
 			if err := k.Call(ctx, "/v1/record", nil, &p); err != nil {
 				return err
 			}
@@ -66,7 +66,7 @@
 			return w.Flush()
 		}})
 	}
-	see("owners", "Print the works, their owners and fences", func(w io.Writer, p keeper.Picture) {
+	see("owners", "Print the works, their owners and fences", func(w io.Writer, p coordserver.Picture) {
 		fmt.Fprintln(w, "work\towner\tfence\tzone\t")
 		for _, x := range p.Works {
 			owner := p.Owners[x.Name]
@@ -79,7 +79,7 @@
 			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t\n", x.Name, owner, x.Fence, x.Zone)
 		}
 	})
-	see("sessions", "Print the routers that take part", func(w io.Writer, p keeper.Picture) {
+	see("sessions", "Print the routers that take part", func(w io.Writer, p coordserver.Picture) {
 		fmt.Fprintln(w, "router\tsession\tincarnation\tzone\tregion\t\t")
 		for _, x := range p.Sessions {
 			note := ""
@@ -98,7 +98,7 @@
 			}
 			defer cancel()
 			all := k.Each(ctx, addrs)
-			var p keeper.Picture
+			var p coordserver.Picture
 			agreed := k.Call(ctx, "/v1/record", nil, &p)
 			out := c.OutOrStdout()
 			if asJSON {
@@ -137,7 +137,7 @@
 				return err
 			}
 			defer cancel()
-			if err := k.Call(ctx, "/v1/order", keeping.Order{Kind: "release", Work: args[0]}, &keeping.Posted{}); err != nil {
+			if err := k.Call(ctx, "/v1/order", coordinator.Order{Kind: "release", Work: args[0]}, &coordinator.Posted{}); err != nil {
 				return fmt.Errorf("%s: %v", args[0], err)
 			}
 			_, err = fmt.Fprintln(c.OutOrStdout(), "asked")
--- a/internal/engines/engines.go
+++ b/internal/backends/engines.go
@@ -1,6 +1,6 @@
-// Package engines carries sends to engines and their answers back: connections, streams, pages. It carries out
+// Package backends carries sends to engines and their answers back: connections, streams, pages. It carries out
 // what it is told and decides nothing; it knows no socket but what takes its bytes.
-package engines
+package backends
 
 import (
 	"bytes"
@@ -12,9 +12,9 @@
 	"strconv"
 	"unicode/utf8"
 
-	"dunereach/brain"
-	"dunereach/internal/lines"
-	"dunereach/internal/sockets"
+	"dunereach/admission"
+	"dunereach/internal/lineproto"
+	"dunereach/internal/transport"
 )
 
 // Ref is a command's id as clients and engines write it.
@@ -41,7 +41,7 @@
 
 	out   bool
 	over  bool // it has ended, and its owner is yet to be told so
-	end   brain.End
+	end   admission.End
 	conn  *conn
 	sent  bool
 	from  int64 // where its bytes begin on the connection
@@ -55,9 +55,9 @@
 
 // Owner learns how sends go. No call comes from within Send, GiveUp, Renice or Members.
 type Owner interface {
-	Ended(j *Job, end brain.End)
-	Noted(j *Job, kind brain.NoteKind, value float64)
-	Lost(engine uint32, how sockets.Ending)
+	Ended(j *Job, end admission.End)
+	Noted(j *Job, kind admission.NoteKind, value float64)
+	Lost(engine uint32, how transport.Ending)
 }
 
 // Line is where a connection's bytes go.
@@ -83,7 +83,7 @@
 type Pool struct {
 	owner   Owner
 	limits  Limits
-	dial    func(addr netip.AddrPort, sink sockets.Sink) Line
+	dial    func(addr netip.AddrPort, sink transport.Sink) Line
 	engines map[uint32]*engine
 	conns   []*conn
 	later   []*Job // ended within a call from the owner
@@ -94,7 +94,7 @@
 
 type engine struct {
 	addr  netip.AddrPort
-	state brain.State
+	state admission.State
 }
 
 type conn struct {
@@ -104,7 +104,7 @@
 	up      bool
 	broken  bool // what came can't be read
 	retired bool // takes no more sends, and closes once nothing is out
-	parser  lines.Parser
+	parser  lineproto.Parser
 	out     map[Ref]*Job
 	waiting []*Job           // until it is up
 	spent   map[Ref]struct{} // given up here: an answer under these is late, and no other send's
@@ -113,7 +113,7 @@
 	halfAt  float64 // an answer that is not whole yet was begun then, 0: none
 }
 
-func New(owner Owner, limits Limits, dial func(netip.AddrPort, sockets.Sink) Line) *Pool {
+func New(owner Owner, limits Limits, dial func(netip.AddrPort, transport.Sink) Line) *Pool {
 	return &Pool{owner: owner, limits: limits, dial: dial, engines: map[uint32]*engine{}}
 }
 
@@ -122,9 +122,9 @@
 
 // Members takes the list as it is now. What waits for a connection to an engine that drains or is gone is not
 // written any more.
-func (p *Pool) Members(list []brain.Entry, addr func(uint32) netip.AddrPort) {
+func (p *Pool) Members(list []admission.Entry, addr func(uint32) netip.AddrPort) {
 	for _, e := range p.engines {
-		e.state = brain.Gone
+		e.state = admission.Gone
 	}
 	for _, n := range list {
 		e := p.engines[n.Engine]
@@ -142,10 +142,10 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) { // in order: equal input must act alike
 		e := p.engines[id]
-		if e.state != brain.Ready {
+		if e.state != admission.Ready {
 			p.retire(id)
 		}
-		if e.state == brain.Gone {
+		if e.state == admission.Gone {
 			delete(p.engines, id)
 		}
 	}
@@ -162,7 +162,7 @@
 		}
 		for _, j := range c.jobs() {
 			if c.withdraw(j) {
-				p.endLater(j, brain.Unreachable)
+				p.endLater(j, admission.Unreachable)
 			}
 		}
 		c.rest()
@@ -196,7 +196,7 @@
 	for _, c := range p.conns {
 		for _, j := range c.jobs() {
 			if j.LeaveBy > 0 && p.now+UnstickEvery >= j.LeaveBy && c.withdraw(j) {
-				p.endLater(j, brain.Moot)
+				p.endLater(j, admission.Moot)
 			}
 		}
 		if p.limits.Stall > 0 && !c.broken && c.stopped(p.now-p.limits.Stall) {
@@ -231,18 +231,18 @@
 	j.out, j.over, j.sent, j.conn, j.got, j.Pages = true, false, false, nil, 0, j.Pages[:0]
 	j.Work, j.Memory, j.Unsent = 0, 0, false
 	e := p.engines[j.Engine]
-	if e == nil || e.state != brain.Ready {
-		p.endLater(j, brain.Moot)
+	if e == nil || e.state != admission.Ready {
+		p.endLater(j, admission.Moot)
 		return
 	}
 	if j.Until <= p.now {
 		j.Unsent = true
-		p.endLater(j, brain.TimedOut)
+		p.endLater(j, admission.TimedOut)
 		return
 	}
 	c := p.conn(j, e)
 	if c == nil { // all connections are taken: nothing was written
-		p.endLater(j, brain.Unreachable)
+		p.endLater(j, admission.Unreachable)
 		return
 	}
 	j.conn, c.out[j.Ref], c.usedAt = c, j, p.now
@@ -286,15 +286,15 @@
 	switch {
 	case j.Until <= c.pool.now:
 		j.Unsent = true
-		c.pool.endLater(j, brain.TimedOut)
+		c.pool.endLater(j, admission.TimedOut)
 		return
 	case j.LeaveBy > 0 && j.LeaveBy <= c.pool.now:
-		c.pool.endLater(j, brain.Moot)
+		c.pool.endLater(j, admission.Moot)
 		return
 	}
 	j.sent = true
 	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
-	c.pool.scratch = lines.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Token, j.Statement)
+	c.pool.scratch = lineproto.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Token, j.Statement)
 	j.from, j.size = c.line.Append(c.pool.scratch), len(c.pool.scratch)
 }
 
@@ -307,24 +307,24 @@
 // Withdraw ends a send of which nothing has left; any other goes on.
 func (p *Pool) Withdraw(j *Job) {
 	if c := j.conn; c != nil && c.withdraw(j) {
-		p.endLater(j, brain.Moot)
+		p.endLater(j, admission.Moot)
 	}
 }
 
 // GiveUp ends a send that is out. One that is on its way is taken back, so that it is over on the wire before
 // another leaves.
-func (p *Pool) GiveUp(j *Job, end brain.End) {
+func (p *Pool) GiveUp(j *Job, end admission.End) {
 	if c := j.conn; c != nil && j.sent {
 		if j.Unsent = c.withdraw(j); !j.Unsent {
 			if j.got == 0 {
-				c.say(lines.Abort(p.scratch[:0], j.Ref[:]))
+				c.say(lineproto.Abort(p.scratch[:0], j.Ref[:]))
 			} else {
-				c.say(lines.Done(p.scratch[:0], j.Ref[:]))
+				c.say(lineproto.Done(p.scratch[:0], j.Ref[:]))
 			}
 			c.spend(j)
 		}
 		// One whose time ran out may be the connection's doing, not the engine's: nothing more is sent there.
-		c.retired = c.retired || end == brain.TimedOut
+		c.retired = c.retired || end == admission.TimedOut
 	} else if c != nil {
 		j.Unsent = true
 	}
@@ -342,11 +342,11 @@
 // Renice sets the priority of a send that runs. One that is yet to be written has it with its fetch.
 func (p *Pool) Renice(j *Job) {
 	if j.conn != nil && j.sent && j.got == 0 {
-		j.conn.say(lines.Renice(p.scratch[:0], j.Ref[:], j.Level))
+		j.conn.say(lineproto.Renice(p.scratch[:0], j.Ref[:], j.Level))
 	}
 }
 
-func (p *Pool) endLater(j *Job, end brain.End) {
+func (p *Pool) endLater(j *Job, end admission.End) {
 	if j.out && !j.over {
 		j.unlink()
 		j.over, j.end = true, end
@@ -376,14 +376,14 @@
 	}
 }
 
-func (j *Job) finish(p *Pool, end brain.End) {
+func (j *Job) finish(p *Pool, end admission.End) {
 	j.unlink()
 	j.out = false
-	if end != brain.Answered { // part of a result is nobody's, and the job may be sent again at once
+	if end != admission.Answered { // part of a result is nobody's, and the job may be sent again at once
 		p.freePages(j)
 	}
 	p.owner.Ended(j, end)
-	if end == brain.Answered {
+	if end == admission.Answered {
 		p.freePages(j)
 	}
 }
@@ -439,12 +439,12 @@
 	c.line.Bad()
 }
 
-func (c *conn) Ended(how sockets.Ending) {
-	if how == sockets.Finished { // an engine that closes its side answers no more, and reads nothing that leaves now
+func (c *conn) Ended(how transport.Ending) {
+	if how == transport.Finished { // an engine that closes its side answers no more, and reads nothing that leaves now
 		c.retired = true
 		for _, j := range c.jobs() {
 			if c.withdraw(j) {
-				c.pool.endLater(j, brain.Moot)
+				c.pool.endLater(j, admission.Moot)
 			}
 		}
 		c.line.Drop()
@@ -467,7 +467,7 @@
 
 // Answer takes an engine's word. What can't be right ends the connection; what is right but belongs to nothing that is
 // out, such as a second copy, does no harm.
-func (c *conn) Answer(a lines.Answer) bool {
+func (c *conn) Answer(a lineproto.Answer) bool {
 	c.halfAt = 0
 	var ref Ref
 	if len(a.ID) != len(ref) {
@@ -487,7 +487,7 @@
 	case "served":
 		return c.served(j, a)
 	case "rows":
-		n, ok := lines.Number(lines.Field(a.Fields, "pos"))
+		n, ok := lineproto.Number(lineproto.Field(a.Fields, "pos"))
 		if !ok || n < 1 || n >= len(j.Pages) || !wholeRows(a.Body) {
 			return false
 		}
@@ -509,11 +509,11 @@
 }
 
 // served takes the first page and asks for the others, all at once: one round trip for the lot.
-func (c *conn) served(j *Job, a lines.Answer) bool {
+func (c *conn) served(j *Job, a lineproto.Answer) bool {
 	const most = 64 // pages: a result has 48,000 bytes at most, a page some thousand
-	count, ok := lines.Number(lines.Field(a.Fields, "count"))
-	work, ok1 := figure(lines.Field(a.Fields, "ticks"))
-	memory, ok2 := figure(lines.Field(a.Fields, "footprint"))
+	count, ok := lineproto.Number(lineproto.Field(a.Fields, "count"))
+	work, ok1 := figure(lineproto.Field(a.Fields, "ticks"))
+	memory, ok2 := figure(lineproto.Field(a.Fields, "footprint"))
 	if !ok || !ok1 || !ok2 || count < 1 || count > most || !wholeRows(a.Body) {
 		return false
 	}
@@ -527,13 +527,13 @@
 	j.page(c.pool, 0, a.Body)
 	switch {
 	case count == 1:
-		j.finish(c.pool, brain.Answered)
+		j.finish(c.pool, admission.Answered)
 	case j.Unwanted:
 		c.done(j)
 	default:
 		b := c.pool.scratch[:0]
 		for n := 1; n < count; n++ {
-			b = lines.More(b, j.Ref[:], n)
+			b = lineproto.More(b, j.Ref[:], n)
 		}
 		c.say(b)
 	}
@@ -542,8 +542,8 @@
 
 // done ends a send whose engine still keeps pages.
 func (c *conn) done(j *Job) {
-	c.say(lines.Done(c.pool.scratch[:0], j.Ref[:]))
-	j.finish(c.pool, brain.Answered)
+	c.say(lineproto.Done(c.pool.scratch[:0], j.Ref[:]))
+	j.finish(c.pool, admission.Answered)
 }
 
 // page keeps one page's bytes.
@@ -585,18 +585,18 @@
 	return true
 }
 
-func note(fields []byte) (brain.NoteKind, float64, bool) {
-	value, ok := figure(lines.Field(fields, "reading"))
+func note(fields []byte) (admission.NoteKind, float64, bool) {
+	value, ok := figure(lineproto.Field(fields, "reading"))
 	if !ok {
 		return 0, 0, false
 	}
-	switch string(lines.Field(fields, "res")) {
+	switch string(lineproto.Field(fields, "res")) {
 	case "p":
-		return brain.Progressed, value, true
+		return admission.Progressed, value, true
 	case "s":
-		return brain.Spilling, value, true
+		return admission.Spilling, value, true
 	case "w":
-		return brain.Waiting, value, true
+		return admission.Waiting, value, true
 	}
 	return 0, 0, false
 }
--- a/internal/engines/engines_test.go
+++ b/internal/backends/engines_test.go
@@ -1,4 +1,4 @@
-package engines
+package backends
 
 import (
 	"net/netip"
@@ -6,9 +6,9 @@
 	"strings"
 	"testing"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/internal/script"
-	"dunereach/internal/sockets"
+	"dunereach/internal/transport"
 )
 
 // yard plays the pool's owner and the connections.
@@ -23,7 +23,7 @@
 type wire struct {
 	yard          *yard
 	n             int
-	sink          sockets.Sink
+	sink          transport.Sink
 	queued, begun int64
 	written       int64
 	stalled, over bool
@@ -57,22 +57,22 @@
 
 var ends = [...]string{"answered", "errored", "turned away", "timed out", "unreachable", "cut", "cancelled", "moot"}
 
-func (y *yard) Ended(j *Job, end brain.End) {
+func (y *yard) Ended(j *Job, end admission.End) {
 	text := make([]string, len(j.Pages))
 	for k, p := range j.Pages {
 		text[k] = string(p)
 	}
 	y.say("%d/%d %s %q work %g memory %g", j.ID, j.Number, ends[end], strings.Join(text, ""), j.Work, j.Memory)
 }
-func (y *yard) Noted(j *Job, kind brain.NoteKind, value float64) {
+func (y *yard) Noted(j *Job, kind admission.NoteKind, value float64) {
 	y.say("%d/%d note %d %g", j.ID, j.Number, kind, value)
 }
-func (y *yard) Lost(engine uint32, how sockets.Ending) { y.say("engine %d lost: %v", engine, how) }
+func (y *yard) Lost(engine uint32, how transport.Ending) { y.say("engine %d lost: %v", engine, how) }
 
 func start(pieces bool) func(*testing.T, script.Say) func([]string) {
 	return func(t *testing.T, say script.Say) func([]string) {
 		y := &yard{say: say, jobs: map[uint32]*Job{}}
-		y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30, Stall: 0.25}, func(a netip.AddrPort, sink sockets.Sink) Line {
+		y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30, Stall: 0.25}, func(a netip.AddrPort, sink transport.Sink) Line {
 			w := &wire{yard: y, n: len(y.lines) + 1, sink: sink}
 			y.lines = append(y.lines, w)
 			say("line %d dials %v", w.n, a)
@@ -99,11 +99,11 @@
 	defer y.pool.Settle()
 	switch w[1] {
 	case "list": // engine=state, at the address that its number tells
-		var list []brain.Entry
+		var list []admission.Entry
 		for _, e := range w[2:] {
 			n, state, _ := strings.Cut(e, "=")
-			list = append(list, brain.Entry{Engine: number(t, n),
-				State: map[string]brain.State{"ready": brain.Ready, "drains": brain.Draining}[state]})
+			list = append(list, admission.Entry{Engine: number(t, n),
+				State: map[string]admission.State{"ready": admission.Ready, "drains": admission.Draining}[state]})
 		}
 		y.pool.Members(list, func(n uint32) netip.AddrPort {
 			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 4100)
@@ -120,7 +120,7 @@
 		j.Until, _ = strconv.ParseFloat(w[4], 64)
 		y.pool.Send(j)
 	case "give-up":
-		y.pool.GiveUp(y.jobs[number(t, w[2])], brain.TimedOut)
+		y.pool.GiveUp(y.jobs[number(t, w[2])], admission.TimedOut)
 	case "unwanted":
 		y.jobs[number(t, w[2])].Unwanted = true
 	case "renice":
@@ -154,8 +154,8 @@
 			y.lines[number(t, w[2])-1].sink.Feed([]byte(text[:size]))
 		}
 	case "ends":
-		how := map[string]sockets.Ending{"refused": sockets.Refused, "never-up": sockets.NeverUp,
-			"finished": sockets.Finished, "reset": sockets.Reset, "closed": sockets.Closed}
+		how := map[string]transport.Ending{"refused": transport.Refused, "never-up": transport.NeverUp,
+			"finished": transport.Finished, "reset": transport.Reset, "closed": transport.Closed}
 		y.lines[number(t, w[2])-1].sink.Ended(how[w[3]])
 	default:
 		t.Fatalf("%q", w)
@@ -165,20 +165,20 @@
 // TestTurnover: however many engines have come and gone, some at the same address, nothing of them stays.
 func TestTurnover(t *testing.T) {
 	y := &yard{say: func(string, ...any) {}, jobs: map[uint32]*Job{}}
-	y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30}, func(_ netip.AddrPort, sink sockets.Sink) Line {
+	y.pool = New(y, Limits{Streams: 2, Conns: 4, Idle: 30}, func(_ netip.AddrPort, sink transport.Sink) Line {
 		y.lines = append(y.lines, &wire{yard: y, sink: sink})
 		return y.lines[len(y.lines)-1]
 	})
 	for k := range 1000 {
 		n := uint32(k + 1)
-		y.pool.Members([]brain.Entry{{Engine: n, State: brain.Ready}}, func(uint32) netip.AddrPort { return netip.AddrPort{} })
+		y.pool.Members([]admission.Entry{{Engine: n, State: admission.Ready}}, func(uint32) netip.AddrPort { return netip.AddrPort{} })
 		j := &Job{ID: n, Engine: n, Until: 9, Profile: "report"}
 		copy(j.Ref[:], "0000000000000000")
 		y.pool.Send(j)
 		y.lines[k].sink.Up()
 		y.lines[k].sink.Feed([]byte("0000000000000000 served count=1 5\r\na\tb\t\n\r\n"))
 		if k > 0 {
-			y.lines[k-1].sink.Ended(sockets.Closed)
+			y.lines[k-1].sink.Ended(transport.Closed)
 		}
 	}
 	if len(y.pool.engines) != 1 || len(y.pool.conns) != 1 || len(y.pool.later) != 0 || len(y.pool.spare) > 1 {
--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -6,9 +6,9 @@
 	"io"
 	"math"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/internal/settings"
-	"dunereach/waits"
+	"dunereach/waittime"
 )
 
 const ms = 1e-3
@@ -16,16 +16,16 @@
 // router is one hosted instance. It shares nothing but the reply that its actions are written to.
 type router struct {
 	id       uint32
-	mind     *brain.Brain
+	mind     *admission.Brain
 	profiles int
 	fields   []string // order of load report values
-	load     brain.Load
+	load     admission.Load
 	out      *reply
 }
 
 type server struct {
 	routers map[uint32]*router
-	pages   [16][]brain.Entry
+	pages   [16][]admission.Entry
 	set     [16]bool
 	out     reply
 	now     float64 // seconds
@@ -102,17 +102,17 @@
 	}
 	list := s.pages[page][:0]
 	for ; len(rows) > 0; rows = rows[entrySize:] {
-		state := brain.Gone
+		state := admission.Gone
 		switch rows[16] {
 		case 0:
 		case 1:
-			state = brain.Draining
+			state = admission.Draining
 		case 3:
-			state = brain.Ready
+			state = admission.Ready
 		default:
 			return fmt.Errorf("entry with status %d", rows[16])
 		}
-		list = append(list, brain.Entry{
+		list = append(list, admission.Entry{
 			Kind: int(be.Uint16(rows)), Weight: f32(rows[2:]), ReadyAt: f64(rows[6:]) * ms,
 			Cell: int(be.Uint16(rows[14:])), State: state,
 			Zone: int(be.Uint16(rows[17:])), Engine: be.Uint32(rows[19:]),
@@ -134,7 +134,7 @@
 	r := &router{id: id, profiles: len(set.Profiles), fields: set.LoadFields, out: &s.out}
 	s.routers[id] = r
 	s.out.router = id
-	r.guard(func() { r.mind = brain.New(set.Brain, s.now, r) })
+	r.guard(func() { r.mind = admission.New(set.Brain, s.now, r) })
 	return r, nil
 }
 
@@ -159,11 +159,11 @@
 	m, now := r.mind, s.now
 	switch e[0] {
 	case 20: // PeersKnown
-		scopes := [4]brain.Scope{brain.Delta, brain.Cached, brain.Full, brain.FailedAsk}
+		scopes := [4]admission.Scope{admission.Delta, admission.Cached, admission.Full, admission.FailedAsk}
 		if e[1] > 3 {
 			return fmt.Errorf("list scope %d", e[1])
 		}
-		var list []brain.Entry
+		var list []admission.Entry
 		if e[1] != 3 {
 			page := be.Uint16(e[6:])
 			if int(page) >= len(s.pages) || !s.set[page] {
@@ -173,7 +173,7 @@
 		}
 		m.Members(now, scopes[e[1]], list)
 	case 30: // WorkItem
-		c := brain.Command{
+		c := admission.Command{
 			ID: be.Uint32(e[1:]), Profile: int(e[5]), Tenant: int(be.Uint16(e[6:])), Key: be.Uint64(e[8:]),
 			TimeLeft: f64(e[16:]) * ms, Memory: f32(e[32:]), Area: uint32(f32(e[36:])), Retry: e[40]&2 != 0,
 		}
@@ -190,7 +190,7 @@
 	case 40: // UnderWay
 		m.Started(now, be.Uint32(e[1:]), int(be.Uint16(e[13:])))
 	case 50: // Outcome
-		o := brain.Outcome{
+		o := admission.Outcome{
 			ID: be.Uint32(e[1:]), Lag: f64(e[7:]) * ms, Over: e[15] != 0,
 			Engine: be.Uint32(e[20:]), Send: int(be.Uint16(e[24:])), Load: r.report(e[26:]),
 		}
@@ -198,7 +198,7 @@
 		if o.End, err = end(be.Uint16(e[5:])); err != nil {
 			return err
 		}
-		if cost := be.Uint32(e[16:]); o.End == brain.Answered && cost > 0 {
+		if cost := be.Uint32(e[16:]); o.End == admission.Answered && cost > 0 {
 			o.Work, o.Memory = float64(cost>>12)*ms, float64(cost&0xfff)*4
 		}
 		m.Outcome(now, o)
@@ -219,28 +219,28 @@
 		}
 		m.Peer(now, int(be.Uint32(e[1:])), data)
 	case 110: // StatusNote
-		m.Note(now, brain.Note{
-			ID: be.Uint32(e[1:]), Kind: brain.NoteKind(e[5]), Send: int(be.Uint16(e[6:])),
+		m.Note(now, admission.Note{
+			ID: be.Uint32(e[1:]), Kind: admission.NoteKind(e[5]), Send: int(be.Uint16(e[6:])),
 			Value: f32(e[8:]), Engine: be.Uint32(e[12:]),
 		})
 	}
 	return nil
 }
 
-func end(code uint16) (brain.End, error) {
+func end(code uint16) (admission.End, error) {
 	if code%10 != 0 || code < 10 || code > 80 {
 		return 0, fmt.Errorf("unknown outcome %d", code)
 	}
-	return brain.End(code/10 - 1), nil
+	return admission.End(code/10 - 1), nil
 }
 
 // report reads a load report; the result is good until the next.
-func (r *router) report(e []byte) *brain.Load {
+func (r *router) report(e []byte) *admission.Load {
 	n := int(e[0])
 	if n == 0 || n > 4 || n > len(r.fields) {
 		return nil
 	}
-	r.load = brain.Load{Held: -1, Waiting: -1, Cores: -1, Memory: -1, Disks: -1}
+	r.load = admission.Load{Held: -1, Waiting: -1, Cores: -1, Memory: -1, Disks: -1}
 	for i := range n {
 		v := f32(e[1+4*i:])
 		switch r.fields[i] {
@@ -314,5 +314,5 @@
 	}
 }
 
-func (r *router) Told(uint32, waits.Kind, waits.Estimate) {} // the wire has no place for it
-func (r *router) Log(text string)                         { r.out.attach(r.out.record(40), text) }
+func (r *router) Told(uint32, waittime.Kind, waittime.Estimate) {} // the wire has no place for it
+func (r *router) Log(text string)                               { r.out.attach(r.out.record(40), text) }
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/internal/settings"
 
 	"github.com/google/go-cmp/cmp"
@@ -125,9 +125,9 @@
 	all, err := settings.Parse([]byte(`{"Classes":[{"Aim":800,"AimStretch":2,"Deadline":4000,"DedupWindow":5000,"Effect":"keyed",
 		"Group":"cell","Worth":3,"RunsIn":[1],"ByArrival":true}],"FamilyInfo":{"Dop":[4]},"Obligations":{"FurtherRatio":0.1,
 		"LookBack":10000,"KeyRest":500}}`), 7)
-	want := brain.Settings{Seed: 7, Routers: 1, KeyRest: 0.5, BudgetShare: 0.1, BudgetWindow: 10,
-		Profiles: []brain.Profile{{Target: 0.8, Stretch: 2, Benefit: 3, Effect: brain.Uniqued,
-			Group: brain.GroupCell, Window: 5, Ordered: true, Zones: []int{1}, Threads: 4}}}
+	want := admission.Settings{Seed: 7, Routers: 1, KeyRest: 0.5, BudgetShare: 0.1, BudgetWindow: 10,
+		Profiles: []admission.Profile{{Target: 0.8, Stretch: 2, Benefit: 3, Effect: admission.Uniqued,
+			Group: admission.GroupCell, Window: 5, Ordered: true, Zones: []int{1}, Threads: 4}}}
 	if diff := cmp.Diff(want, all.Brain); diff != "" || err != nil {
 		t.Errorf("%v\n%s", err, diff)
 	}
@@ -177,7 +177,7 @@
 	be.PutUint32(e[1:], math.Float32bits(0.5))
 	be.PutUint32(e[5:], math.Float32bits(12))
 	r := &router{fields: []string{"cpu", "active"}}
-	if diff := cmp.Diff(&brain.Load{Held: 12, Waiting: -1, Cores: 0.5, Memory: -1, Disks: -1}, r.report(e[:])); diff != "" {
+	if diff := cmp.Diff(&admission.Load{Held: 12, Waiting: -1, Cores: 0.5, Memory: -1, Disks: -1}, r.report(e[:])); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/command/command.go
+++ b/internal/cli/command.go
@@ -1,6 +1,6 @@
-// Package command is the router's command line. With no words it serves as its environment says, which is how the
+// Package cli is the router's command line. With no words it serves as its environment says, which is how the
 // platform starts it.
-package command
+package cli
 
 import (
 	"errors"
--- a/internal/command/companion.go
+++ b/internal/cli/companion.go
@@ -1,4 +1,4 @@
-package command
+package cli
 
 import (
 	"bytes"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,8 +8,8 @@
 	"os"
 	"strconv"
 
-	"dunereach/budgets"
-	"dunereach/internal/members"
+	"dunereach/fairshare"
+	"dunereach/internal/discovery"
 	"dunereach/internal/operator"
 	"dunereach/internal/settings"
 )
@@ -20,11 +20,11 @@
 	Listen     netip.AddrPort
 	NameServer netip.AddrPort
 	Limits     Limits
-	Known      members.Known
+	Known      discovery.Known
 	Settings   settings.Settings
 	Operator   operator.File
-	Files      [2]string    // that this was read from: the configuration's and the operators'
-	Budgets    budgets.Spec // what the operators' file says of teams
+	Files      [2]string      // that this was read from: the configuration's and the operators'
+	Budgets    fairshare.Spec // what the operators' file says of teams
 }
 
 // Limits of the machine. Zero: none.
@@ -40,7 +40,7 @@
 	Seed       string          `json:"seed"`
 	Limits     Limits          `json:"limits"`
 	NameServer string          `json:"nameserver"`
-	Known      members.Known   `json:"known"`
+	Known      discovery.Known `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 }
 
--- a/internal/keeper/admin.go
+++ b/internal/coordserver/admin.go
@@ -1,4 +1,4 @@
-package keeper
+package coordserver
 
 import (
 	"context"
@@ -9,14 +9,14 @@
 	"strings"
 	"time"
 
-	"dunereach/internal/private"
-	"dunereach/keeping"
-	"dunereach/member"
-	"dunereach/record"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/registry"
+	"dunereach/internal/netaddr"
 )
 
 // ParseKeepers reads "k1=127.0.0.1:7001@east,k2=...": name, address and, after the @, zone.
-func ParseKeepers(text string) (all []record.Keeper, err error) {
+func ParseKeepers(text string) (all []registry.Keeper, err error) {
 	names := map[string]bool{}
 	for n, part := range strings.Split(text, ",") {
 		name, rest, ok := strings.Cut(strings.TrimSpace(part), "=")
@@ -24,14 +24,14 @@
 		if !ok || name == "" {
 			return nil, fmt.Errorf("keeper %d, %q: NAME=ADDRESS:PORT or NAME=ADDRESS:PORT@ZONE is wanted", n+1, part)
 		}
-		if err := private.Check(addr); err != nil {
+		if err := netaddr.Check(addr); err != nil {
 			return nil, fmt.Errorf("keeper %q: %v", name, err)
 		}
 		if names[name] {
 			return nil, fmt.Errorf("keeper %q is named twice", name)
 		}
 		names[name] = true
-		all = append(all, record.Keeper{ID: uint64(n + 1), Name: name, Addr: addr, Zone: zone})
+		all = append(all, registry.Keeper{ID: uint64(n + 1), Name: name, Addr: addr, Zone: zone})
 	}
 	if len(all) != 1 && len(all) != 3 && len(all) != 5 {
 		return nil, fmt.Errorf("%d keepers: one (for trying out), three or five can begin a record", len(all))
@@ -64,7 +64,7 @@
 	if len(id.Token) > 64 || strings.Trim(id.Token, "0123456789abcdef") != "" {
 		return id, fmt.Errorf("%q is no token of a record", id.Token)
 	}
-	stored, err := keeping.Begin(all, lease, drift)
+	stored, err := coordinator.Begin(all, lease, drift)
 	if err != nil {
 		return id, err
 	}
@@ -74,20 +74,20 @@
 // Join makes the folder of a keeper that takes the place of one that was lost, or comes to the others.
 func Join(ctx context.Context, folder, name, listen, zone, ask string) (Identity, error) {
 	for _, a := range [...]string{listen, ask} {
-		if err := private.Check(a); err != nil {
+		if err := netaddr.Check(a); err != nil {
 			return Identity{}, err
 		}
 	}
 	c := NewClient([]string{ask}, "")
 	var n uint64
 	for {
-		err := c.Call(ctx, "/v1/order", keeping.Order{Kind: "join", Name: name, Addr: listen, Zone: zone}, &n)
+		err := c.Call(ctx, "/v1/order", coordinator.Order{Kind: "join", Name: name, Addr: listen, Zone: zone}, &n)
 		if err == nil {
 			break
 		}
 		// While the others choose a leader it is asked again; one that was taken in and has not started is told its number again.
 		again := false
-		for _, e := range []error{keeping.ErrElsewhere, keeping.ErrBusy, keeping.ErrUnsure, member.ErrNoAnswer} {
+		for _, e := range []error{coordinator.ErrElsewhere, coordinator.ErrBusy, coordinator.ErrUnsure, agent.ErrNoAnswer} {
 			again = again || errors.Is(err, e)
 		}
 		if !again || ctx.Err() != nil {
@@ -107,5 +107,5 @@
 		return Identity{}, err
 	}
 	id := Identity{ID: n, Name: name, Listen: listen, Zone: zone, Token: st.Record, Peers: now.Keepers}
-	return id, Create(folder, id, keeping.Stored{})
+	return id, Create(folder, id, coordinator.Stored{})
 }
--- a/internal/keeper/client.go
+++ b/internal/coordserver/client.go
@@ -1,4 +1,4 @@
-package keeper
+package coordserver
 
 import (
 	"bytes"
@@ -13,15 +13,15 @@
 	"sync/atomic"
 	"time"
 
-	"dunereach/keeping"
-	"dunereach/member"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/coordinator"
 )
 
 // Client asks keepers: whoever leads, as far as that is known.
 type Client struct {
 	http *http.Client
 	mu   sync.Mutex
-	find *member.Finder
+	find *agent.Finder
 	many int
 
 	calls, bytes atomic.Int64
@@ -60,7 +60,7 @@
 
 // NewClient of keepers at these addresses.
 func NewClient(addrs []string, from string) *Client {
-	c := &Client{many: len(addrs), find: member.NewFinder(addrs, int(time.Now().UnixNano()&0xffff))}
+	c := &Client{many: len(addrs), find: agent.NewFinder(addrs, int(time.Now().UnixNano()&0xffff))}
 	dial := dialer(from)
 	c.http = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -98,9 +98,9 @@
 		}
 		c.mu.Lock()
 		switch {
-		case errors.Is(err, keeping.ErrElsewhere):
+		case errors.Is(err, coordinator.ErrElsewhere):
 			c.find.Elsewhere(at, leader)
-		case errors.Is(err, member.ErrNoAnswer):
+		case errors.Is(err, agent.ErrNoAnswer):
 			c.find.Failed(at)
 		default:
 			c.mu.Unlock()
@@ -126,31 +126,31 @@
 	c.calls.Add(1)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return "", fmt.Errorf("%w: %v", member.ErrNoAnswer, err)
+		return "", fmt.Errorf("%w: %v", agent.ErrNoAnswer, err)
 	}
 	defer resp.Body.Close()
 	text := io.LimitReader(resp.Body, mostBody)
 	if resp.StatusCode == http.StatusOK {
 		if err := json.NewDecoder(text).Decode(out); err != nil {
-			return "", fmt.Errorf("%w: %v", member.ErrNoAnswer, err)
+			return "", fmt.Errorf("%w: %v", agent.ErrNoAnswer, err)
 		}
 		io.Copy(io.Discard, text)
 		return "", nil
 	}
 	var f Fault
 	if err := json.NewDecoder(text).Decode(&f); err != nil {
-		return "", fmt.Errorf("%w: %s", member.ErrNoAnswer, resp.Status)
+		return "", fmt.Errorf("%w: %s", agent.ErrNoAnswer, resp.Status)
 	}
 	io.Copy(io.Discard, text)
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		return "", fmt.Errorf("%w: %s", member.ErrNoAnswer, f.Text)
+		return "", fmt.Errorf("%w: %s", agent.ErrNoAnswer, f.Text)
 	}
 	return f.Leader, f.Err()
 }
 
 // Each keeper's own word on itself, nil where it does not answer.
-func (c *Client) Each(ctx context.Context, addrs []string) []*keeping.Status {
-	all := make([]*keeping.Status, len(addrs))
+func (c *Client) Each(ctx context.Context, addrs []string) []*coordinator.Status {
+	all := make([]*coordinator.Status, len(addrs))
 	var wait sync.WaitGroup
 	for n, a := range addrs {
 		wait.Go(func() {
--- a/internal/keeper/serve.go
+++ b/internal/coordserver/serve.go
@@ -1,4 +1,4 @@
-package keeper
+package coordserver
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 	"strings"
 	"time"
 
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
 	"dunereach/internal/boottime"
-	"dunereach/internal/private"
-	"dunereach/keeping"
-	"dunereach/ownership"
-	"dunereach/record"
+	"dunereach/internal/netaddr"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -24,24 +24,24 @@
 
 // Wire errors, by the word that stands for them in an answer.
 var wireErrors = map[string]error{
-	"elsewhere": keeping.ErrElsewhere, "unsure": keeping.ErrUnsure, "session": keeping.ErrSession, "bad": keeping.ErrBad,
-	"busy": keeping.ErrBusy, "superseded": record.ErrSuperseded, "full": record.ErrFull, "owned": record.ErrOwned,
-	"fence": record.ErrFence, "work": record.ErrNoWork, "keeper": record.ErrKeeper, "no session": record.ErrNoSession,
-	"version": record.ErrUnknown,
+	"elsewhere": coordinator.ErrElsewhere, "unsure": coordinator.ErrUnsure, "session": coordinator.ErrSession, "bad": coordinator.ErrBad,
+	"busy": coordinator.ErrBusy, "superseded": registry.ErrSuperseded, "full": registry.ErrFull, "owned": registry.ErrOwned,
+	"fence": registry.ErrFence, "work": registry.ErrNoWork, "keeper": registry.ErrKeeper, "no session": registry.ErrNoSession,
+	"version": registry.ErrUnknown,
 }
 
 // Fault is an answer that is an error.
 type Fault struct {
-	Error  string          `json:"error"`
-	Text   string          `json:"text,omitempty"`
-	Leader string          `json:"leader,omitempty"` // address of who leads
-	Old    *ownership.Mark `json:"old,omitempty"`
+	Error  string      `json:"error"`
+	Text   string      `json:"text,omitempty"`
+	Leader string      `json:"leader,omitempty"` // address of who leads
+	Old    *lease.Mark `json:"old,omitempty"`
 }
 
 // Err is the error that a fault stands for.
 func (f *Fault) Err() error {
 	if f.Old != nil {
-		return &ownership.Old{Work: f.Old.Work, Highest: f.Old.Fence}
+		return &lease.Old{Work: f.Old.Work, Highest: f.Old.Fence}
 	}
 	if e := wireErrors[f.Error]; e != nil {
 		if f.Text != "" {
@@ -53,9 +53,9 @@
 }
 
 func faultOf(err error, leader string) *Fault {
-	var old *ownership.Old
+	var old *lease.Old
 	if errors.As(err, &old) {
-		return &Fault{Error: "fence", Text: err.Error(), Old: &ownership.Mark{Work: old.Work, Fence: old.Highest}}
+		return &Fault{Error: "fence", Text: err.Error(), Old: &lease.Mark{Work: old.Work, Fence: old.Highest}}
 	}
 	for word, e := range wireErrors {
 		if errors.Is(err, e) {
@@ -68,19 +68,19 @@
 // request for the owner's goroutine.
 type request struct {
 	number uint64 // the owner's goroutine's
-	do     func(k *keeping.Keeper, now float64, number uint64)
+	do     func(k *coordinator.Keeper, now float64, number uint64)
 	answer chan reply // room for one: nobody waits for who went away
 }
 
 type reply struct {
-	keeping.Answer
+	coordinator.Answer
 	leader string
 }
 
 // server of one keeper.
 type server struct {
 	store  *Store
-	k      *keeping.Keeper
+	k      *coordinator.Keeper
 	log    *zap.Logger
 	inbox  chan func(now float64)
 	asks   chan *request
@@ -113,7 +113,7 @@
 	if o.Listen != "" {
 		listen = o.Listen
 	}
-	if err := private.Check(listen); err != nil {
+	if err := netaddr.Check(listen); err != nil {
 		return err
 	}
 	listener, err := net.Listen("tcp", listen)
@@ -149,7 +149,7 @@
 }
 
 // own is the goroutine that has the keeper.
-func (s *server) own(ctx context.Context, stored keeping.Stored) error {
+func (s *server) own(ctx context.Context, stored coordinator.Stored) error {
 	id := s.store.Identity
 	if id.Fresh {
 		if err := s.begin(ctx); err != nil {
@@ -158,7 +158,7 @@
 	}
 	const holds = 1.0 // seconds: a quarter of a lease of four, the usual one
 	var err error
-	s.k, err = keeping.New(keeping.Config{ID: id.ID, Name: id.Name, Token: id.Token, Hold: holds, Logger: quiet{s.log.Sugar()},
+	s.k, err = coordinator.New(coordinator.Config{ID: id.ID, Name: id.Name, Token: id.Token, Hold: holds, Logger: quiet{s.log.Sugar()},
 		Log: func(text string) { s.log.Info(text) }}, stored, boottime.Now())
 	if err != nil {
 		return err
@@ -174,7 +174,7 @@
 			now := boottime.Now()
 			s.k.Tick(now)
 			if s.k.Leads() {
-				s.k.Version(id.ID, record.Version)
+				s.k.Version(id.ID, registry.Version)
 			}
 		case do := <-s.inbox:
 			do(boottime.Now())
@@ -226,7 +226,7 @@
 			if x := s.k.Record().Keeper(a.Leader); x != nil {
 				leader = x.Addr
 			}
-			if rec, ok := a.Value.(*record.Record); ok { // as it is now: it goes on changing
+			if rec, ok := a.Value.(*registry.Record); ok { // as it is now: it goes on changing
 				a.Value = picture(rec)
 			}
 			r.answer <- reply{a, leader}
@@ -240,18 +240,18 @@
 
 // Picture of the record, for people and scripts.
 type Picture struct {
-	Index    uint64            `json:"index"`
-	Fence    uint64            `json:"fence"`
-	Lease    float64           `json:"lease"`
-	Drift    float64           `json:"drift"`
-	Keepers  []record.Keeper   `json:"keepers"`
-	Sessions []record.Session  `json:"sessions"`
-	Works    []record.Work     `json:"works"`
-	Owners   map[string]string `json:"owners"` // name of each owned work's owner
+	Index    uint64             `json:"index"`
+	Fence    uint64             `json:"fence"`
+	Lease    float64            `json:"lease"`
+	Drift    float64            `json:"drift"`
+	Keepers  []registry.Keeper  `json:"keepers"`
+	Sessions []registry.Session `json:"sessions"`
+	Works    []registry.Work    `json:"works"`
+	Owners   map[string]string  `json:"owners"` // name of each owned work's owner
 }
 
-func picture(r *record.Record) Picture {
-	p := Picture{Index: r.Index(), Fence: r.Fence(), Owners: map[string]string{}, Sessions: []record.Session{}, Works: []record.Work{}}
+func picture(r *registry.Record) Picture {
+	p := Picture{Index: r.Index(), Fence: r.Fence(), Owners: map[string]string{}, Sessions: []registry.Session{}, Works: []registry.Work{}}
 	p.Lease, p.Drift = r.Terms()
 	for _, k := range r.Keepers() {
 		p.Keepers = append(p.Keepers, *k)
@@ -271,34 +271,34 @@
 func (s *server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/beat", func(w http.ResponseWriter, r *http.Request) {
-		handle(s, w, r, func(b *keeping.Beat) func(*keeping.Keeper, float64, uint64) {
-			return func(k *keeping.Keeper, now float64, n uint64) { k.Beat(now, n, b) }
+		handle(s, w, r, func(b *coordinator.Beat) func(*coordinator.Keeper, float64, uint64) {
+			return func(k *coordinator.Keeper, now float64, n uint64) { k.Beat(now, n, b) }
 		})
 	})
 	mux.HandleFunc("POST /v1/mail", func(w http.ResponseWriter, r *http.Request) {
-		handle(s, w, r, func(m *keeping.Mail) func(*keeping.Keeper, float64, uint64) {
-			return func(k *keeping.Keeper, now float64, n uint64) { k.Post(now, n, m) }
+		handle(s, w, r, func(m *coordinator.Mail) func(*coordinator.Keeper, float64, uint64) {
+			return func(k *coordinator.Keeper, now float64, n uint64) { k.Post(now, n, m) }
 		})
 	})
 	mux.HandleFunc("POST /v1/act", func(w http.ResponseWriter, r *http.Request) {
-		handle(s, w, r, func(a *keeping.Act) func(*keeping.Keeper, float64, uint64) {
-			return func(k *keeping.Keeper, now float64, n uint64) { k.Do(now, n, a) }
+		handle(s, w, r, func(a *coordinator.Act) func(*coordinator.Keeper, float64, uint64) {
+			return func(k *coordinator.Keeper, now float64, n uint64) { k.Do(now, n, a) }
 		})
 	})
 	mux.HandleFunc("POST /v1/order", func(w http.ResponseWriter, r *http.Request) {
-		handle(s, w, r, func(o *keeping.Order) func(*keeping.Keeper, float64, uint64) {
-			return func(k *keeping.Keeper, now float64, n uint64) { k.Order(now, n, o) }
+		handle(s, w, r, func(o *coordinator.Order) func(*coordinator.Keeper, float64, uint64) {
+			return func(k *coordinator.Keeper, now float64, n uint64) { k.Order(now, n, o) }
 		})
 	})
 	mux.HandleFunc("GET /v1/record", func(w http.ResponseWriter, r *http.Request) {
-		s.wait(w, r, func(k *keeping.Keeper, now float64, n uint64) { k.Read(now, n) })
+		s.wait(w, r, func(k *coordinator.Keeper, now float64, n uint64) { k.Read(now, n) })
 	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { s.status(w, r) })
 	mux.HandleFunc("POST /raft/{record}", s.wire.receive)
 	return mux
 }
 
-func handle[T any](s *server, w http.ResponseWriter, r *http.Request, of func(*T) func(*keeping.Keeper, float64, uint64)) {
+func handle[T any](s *server, w http.ResponseWriter, r *http.Request, of func(*T) func(*coordinator.Keeper, float64, uint64)) {
 	var v T
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&v); err != nil {
 		write(w, http.StatusBadRequest, &Fault{Error: "bad", Text: err.Error()})
@@ -308,7 +308,7 @@
 }
 
 // wait for the owner's answer. Beats are held for a second, and a change of leaders takes two: four are long.
-func (s *server) wait(w http.ResponseWriter, r *http.Request, do func(*keeping.Keeper, float64, uint64)) {
+func (s *server) wait(w http.ResponseWriter, r *http.Request, do func(*coordinator.Keeper, float64, uint64)) {
 	const patience = 4 * time.Second
 	q := &request{do: do, answer: make(chan reply, 1)}
 	timeout := time.NewTimer(patience)
@@ -325,7 +325,7 @@
 	case a := <-q.answer:
 		if a.Err != nil {
 			status := http.StatusConflict
-			if errors.Is(a.Err, keeping.ErrElsewhere) {
+			if errors.Is(a.Err, coordinator.ErrElsewhere) {
 				status = http.StatusMisdirectedRequest
 			}
 			write(w, status, faultOf(a.Err, a.leader))
@@ -354,12 +354,12 @@
 }
 
 func (s *server) status(w http.ResponseWriter, r *http.Request) {
-	got := make(chan keeping.Status, 1)
+	got := make(chan coordinator.Status, 1)
 	select {
 	case s.inbox <- func(float64) {
 		if s.k == nil {
 			id := s.store.Identity
-			got <- keeping.Status{ID: id.ID, Name: id.Name, Record: id.Token, State: "waiting for the others to begin", Started: []int{}}
+			got <- coordinator.Status{ID: id.ID, Name: id.Name, Record: id.Token, State: "waiting for the others to begin", Started: []int{}}
 			return
 		}
 		got <- s.k.Status()
@@ -382,7 +382,7 @@
 	defer client.CloseIdleConnections()
 	seen := map[uint64]bool{id.ID: true}
 	s.log.Info("waiting for all keepers of the new record", zap.Int("keepers", len(id.Peers)))
-	results := make(chan keeping.Status, len(id.Peers))
+	results := make(chan coordinator.Status, len(id.Peers))
 	ask := time.NewTicker(200 * time.Millisecond)
 	defer ask.Stop()
 	for len(seen) < len(id.Peers) {
@@ -392,7 +392,7 @@
 		case do := <-s.inbox: // others ask for our status
 			do(boottime.Now())
 		case r := <-s.asks:
-			r.answer <- reply{Answer: keeping.Answer{Err: keeping.ErrElsewhere}}
+			r.answer <- reply{Answer: coordinator.Answer{Err: coordinator.ErrElsewhere}}
 		case st := <-results:
 			if st.Record != id.Token {
 				return fmt.Errorf("the keeper %q at its address keeps another record (%s, this one is %s)", st.Name, st.Record, id.Token)
@@ -422,7 +422,7 @@
 	return s.store.SetIdentity(id)
 }
 
-func askStatus(ctx context.Context, c *http.Client, addr string) (st keeping.Status, err error) {
+func askStatus(ctx context.Context, c *http.Client, addr string) (st coordinator.Status, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/status", nil)
 	if err != nil {
 		return st, err
--- a/internal/keeper/store_test.go
+++ b/internal/coordserver/store_test.go
@@ -1,4 +1,4 @@
-package keeper
+package coordserver
 
 import (
 	"errors"
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"dunereach/keeping"
-	"dunereach/record"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/registry"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 )
@@ -37,7 +37,7 @@
 	if _, err := Open(folder); !errors.Is(err, ErrEmpty) {
 		t.Errorf("an empty folder: %v", err)
 	}
-	begin, err := keeping.Begin([]record.Keeper{{ID: 1, Name: "k1", Addr: "127.0.0.1:1"}}, 4, 0.05)
+	begin, err := coordinator.Begin([]registry.Keeper{{ID: 1, Name: "k1", Addr: "127.0.0.1:1"}}, 4, 0.05)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,28 +54,28 @@
 	if _, err := Open(folder); err == nil || !strings.Contains(err.Error(), "another keeper") {
 		t.Errorf("two processes have the folder: %v", err)
 	}
-	keep := func(f func(o *keeping.Output)) {
+	keep := func(f func(o *coordinator.Output)) {
 		t.Helper()
-		var o keeping.Output
+		var o coordinator.Output
 		f(&o)
 		if err := s.Keep(&o); err != nil {
 			t.Fatal(err)
 		}
 	}
-	keep(func(o *keeping.Output) {
+	keep(func(o *coordinator.Output) {
 		o.Keep.Entries = []*pb.Entry{entry(2, 2), entry(3, 2), entry(4, 2), entry(5, 2)}
 		o.Keep.HardState = &pb.HardState{Term: new(uint64(2)), Vote: new(uint64(1)), Commit: new(uint64(3))}
 	})
-	keep(func(o *keeping.Output) { o.Keep.Entries = []*pb.Entry{entry(4, 3)} })
+	keep(func(o *coordinator.Output) { o.Keep.Entries = []*pb.Entry{entry(4, 3)} })
 	if all, from := indexes(t, s); len(all) != 3 || from != 1 {
 		t.Errorf("entries %v behind %d", all, from)
 	}
-	keep(func(o *keeping.Output) { o.Keep.Snapshot, o.Keep.Compact = snapshot(3, 2), 2 })
+	keep(func(o *coordinator.Output) { o.Keep.Snapshot, o.Keep.Compact = snapshot(3, 2), 2 })
 	if all, from := indexes(t, s); len(all) != 1 || all[0] != 4 || from != 3 {
 		t.Errorf("entries %v behind our own snapshot %d", all, from)
 	}
-	keep(func(o *keeping.Output) { o.Keep.Entries = []*pb.Entry{entry(5, 3), entry(6, 3), entry(7, 3)} })
-	keep(func(o *keeping.Output) { o.Keep.Snapshot = snapshot(5, 4) })
+	keep(func(o *coordinator.Output) { o.Keep.Entries = []*pb.Entry{entry(5, 3), entry(6, 3), entry(7, 3)} })
+	keep(func(o *coordinator.Output) { o.Keep.Snapshot = snapshot(5, 4) })
 	s.Close()
 	if s, err = Open(folder); err != nil {
 		t.Fatal(err)
--- a/internal/keeper/transport.go
+++ b/internal/coordserver/transport.go
@@ -1,4 +1,4 @@
-package keeper
+package coordserver
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"dunereach/keeping"
-	"dunereach/record"
+	"dunereach/fleet/coordinator"
+	"dunereach/fleet/registry"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"golang.org/x/sync/errgroup"
@@ -42,7 +42,7 @@
 }
 
 // peers follows the record's list.
-func (t *transport) peers(r *record.Record) {
+func (t *transport) peers(r *registry.Record) {
 	if r.Index() == t.index && len(t.to) > 0 {
 		return
 	}
@@ -73,7 +73,7 @@
 }
 
 // send messages; what finds no room is lost, as on any network.
-func (t *transport) send(all []*pb.Message, k *keeping.Keeper) {
+func (t *transport) send(all []*pb.Message, k *coordinator.Keeper) {
 	by := map[uint64][]*pb.Message{}
 	for _, m := range all {
 		by[m.GetTo()] = append(by[m.GetTo()], m)
@@ -160,7 +160,7 @@
 	}
 	req.Header.Set("Content-Type", "application/octet-stream")
 	req.Header.Set("Keeper", strconv.FormatUint(t.id.ID, 10))
-	req.Header.Set("Reads", strconv.Itoa(int(record.Version)))
+	req.Header.Set("Reads", strconv.Itoa(int(registry.Version)))
 	resp, err := c.Do(req)
 	if err != nil {
 		return err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"dunereach/emulator/engine"
-	"dunereach/internal/members"
-	"dunereach/internal/standin"
+	"dunereach/internal/discovery"
+	"dunereach/internal/fake"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
@@ -54,7 +54,7 @@
 
 // Run plays it and prints the table.
 func Run(ctx context.Context, o Options, out io.Writer) error {
-	d := &standin.Desk{}
+	d := &fake.Desk{}
 	defer d.End()
 	dir, err := os.MkdirTemp("", "dunereach-demo")
 	if err != nil {
@@ -63,12 +63,12 @@
 	d.Cleanup(func() { os.RemoveAll(dir) })
 	ctx, cancel := context.WithCancel(ctx)
 	d.Cleanup(cancel)
-	names := standin.NewNameServer(d, members.Record)
+	names := fake.NewNameServer(d, discovery.Record)
 	var list, targets []string
 	for k := range o.Engines {
-		heard := make(chan standin.Said, 1000) // more than an engine has sessions: a reader waits for none
-		e := standin.NewEngine(d, heard)
-		go standin.Model(ctx, engine.Settings{Cores: cores, Sessions: 64, Knee: 2, Thrash: 0.3, Notes: 2}, heard)
+		heard := make(chan fake.Said, 1000) // more than an engine has sessions: a reader waits for none
+		e := fake.NewEngine(d, heard)
+		go fake.Model(ctx, engine.Settings{Cores: cores, Sessions: 64, Knee: 2, Thrash: 0.3, Notes: 2}, heard)
 		list = append(list, fmt.Sprintf("e-%d.hall 0 10 small 0 0 %s", k, e.Addr))
 		targets = append(targets, fmt.Sprintf(`{"uid":"e-%d","endpoint":"%s","az":"hall","model":"small","state":"ready"}`, k, e.Addr))
 	}
@@ -114,7 +114,7 @@
 	cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case err = <-ended:
-	case <-time.After(standin.Patience):
+	case <-time.After(fake.Patience):
 		err = fmt.Errorf("the router did not end")
 	}
 	if err != nil {
@@ -141,10 +141,10 @@
 var field = regexp.MustCompile(`(cooldown|waited)=(\d+)`)
 
 // client asks one thing after another until the time is over, and stays away as long as it is told.
-func (t *team) client(d *standin.Desk, addr string, seed uint64, until time.Time, profile, tenant string, work, threads, target float64) {
+func (t *team) client(d *fake.Desk, addr string, seed uint64, until time.Time, profile, tenant string, work, threads, target float64) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	size := distuv.LogNormal{Mu: math.Log(work) - 0.2, Sigma: math.Sqrt(0.4), Src: rnd}
-	c := standin.NewClient(d, addr)
+	c := fake.NewClient(d, addr)
 	for n := 0; time.Now().Before(until); n++ {
 		cost := size.Rand()
 		began := time.Now()
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dunereach/emulator/scenario"
-	"dunereach/internal/rig"
+	"dunereach/internal/faultrig"
 )
 
 // Fleet starts three keepers and four routers, takes two owners away, one by SIGKILL and one by SIGTERM, and prints who took
@@ -22,7 +22,7 @@
 	}
 	defer os.RemoveAll(dir)
 	const lease = 2.0
-	r, err := rig.New(scenario.File{Name: "demo", Keepers: 3, Routers: 4, Zones: 2, Engines: 2, Lease: lease, Drift: 0.05, Folders: true}, bin, dir, nil)
+	r, err := faultrig.New(scenario.File{Name: "demo", Keepers: 3, Routers: 4, Zones: 2, Engines: 2, Lease: lease, Drift: 0.05, Folders: true}, bin, dir, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/members/members.go
+++ b/internal/discovery/members.go
@@ -1,5 +1,5 @@
-// Package members turns what the name server tells into the module's list of engines. It knows no socket.
-package members
+// Package discovery turns what the name server tells into the module's list of engines. It knows no socket.
+package discovery
 
 import (
 	"crypto/rand"
@@ -13,7 +13,7 @@
 	"strconv"
 	"strings"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/internal/dns"
 )
 
@@ -60,7 +60,7 @@
 	numbers      map[string]uint32
 	names        map[uint32]string
 	addrs        map[uint32]netip.AddrPort
-	list         []brain.Entry
+	list         []admission.Entry
 	asked        [64]uint16 // ids of the last questions, ten a second: answers count for as long as news may be on its way
 	next         int
 }
@@ -95,17 +95,17 @@
 	return f.rev > was, nil
 }
 
-var states = map[string]brain.State{"ready": brain.Ready, "draining": brain.Draining, "gone": brain.Gone}
+var states = map[string]admission.State{"ready": admission.Ready, "draining": admission.Draining, "gone": admission.Gone}
 
 func (f *Follower) target(t Target) error {
 	state, ok := states[t.State]
 	if !ok {
 		return fmt.Errorf("engine %s has state %q", t.UID, t.State)
 	}
-	e := brain.Entry{Engine: f.number(t.UID), Kind: index(f.kinds, t.Kind), Zone: index(f.zones, t.Zone),
+	e := admission.Entry{Engine: f.number(t.UID), Kind: index(f.kinds, t.Kind), Zone: index(f.zones, t.Zone),
 		Cell: t.Cell, Weight: t.Weight, ReadyAt: t.BootMs / 1000, State: state}
-	f.list = slices.DeleteFunc(f.list, func(o brain.Entry) bool { return o.Engine == e.Engine })
-	if state == brain.Gone {
+	f.list = slices.DeleteFunc(f.list, func(o admission.Entry) bool { return o.Engine == e.Engine })
+	if state == admission.Gone {
 		return nil
 	}
 	addr, err := netip.ParseAddrPort(t.Endpoint)
@@ -144,7 +144,7 @@
 func (f *Follower) Addr(engine uint32) netip.AddrPort { return f.addrs[engine] }
 
 // List is all engines that are ready or drain.
-func (f *Follower) List() []brain.Entry { return f.list }
+func (f *Follower) List() []admission.Entry { return f.list }
 
 // Rev is the number of the last event taken in.
 func (f *Follower) Rev() uint32 { return f.rev }
@@ -177,19 +177,19 @@
 	}
 	var odd error
 	partial := false
-	list := make([]brain.Entry, 0, len(l.Services))
+	list := make([]admission.Entry, 0, len(l.Services))
 	addrs := make(map[uint32]netip.AddrPort, len(l.Services))
 	for _, s := range l.Services {
 		uid, rest, _ := strings.Cut(s.Name, ".")
 		zone, _, _ := strings.Cut(rest, ".")
-		e := brain.Entry{Zone: index(f.zones, zone), Kind: -1, Weight: float64(s.Weight) / 10, State: brain.Ready}
+		e := admission.Entry{Zone: index(f.zones, zone), Kind: -1, Weight: float64(s.Weight) / 10, State: admission.Ready}
 		if s.Priority > 0 {
-			e.State = brain.Draining
+			e.State = admission.Draining
 		}
 		if !s.Addr.IsValid() || len(s.Text) == 0 {
 			odd = fmt.Errorf("engine %s: records are missing", uid)
 			n := f.numbers[uid] // 0, which no engine has, for one never heard of
-			if k := slices.IndexFunc(f.list, func(o brain.Entry) bool { return o.Engine == n }); k >= 0 {
+			if k := slices.IndexFunc(f.list, func(o admission.Entry) bool { return o.Engine == n }); k >= 0 {
 				was := f.list[k]
 				was.State, addrs[n] = e.State, f.addrs[n]
 				list = append(list, was)
@@ -224,7 +224,7 @@
 	}
 	const most = 1000 // names: sends and log lines outlive an engine's place in the list, but not by so many engines
 	for uid, n := range f.numbers {
-		if len(f.numbers) > most && !slices.ContainsFunc(list, func(e brain.Entry) bool { return e.Engine == n }) {
+		if len(f.numbers) > most && !slices.ContainsFunc(list, func(e admission.Entry) bool { return e.Engine == n }) {
 			delete(f.numbers, uid)
 			delete(f.names, n)
 		}
--- a/internal/members/members_test.go
+++ b/internal/discovery/members_test.go
@@ -1,4 +1,4 @@
-package members
+package discovery
 
 import (
 	"encoding/binary"
@@ -6,9 +6,9 @@
 	"fmt"
 	"testing"
 
-	"dunereach/brain"
+	"dunereach/admission"
 	"dunereach/internal/dns"
-	"dunereach/internal/standin"
+	"dunereach/internal/fake"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -22,7 +22,7 @@
 		{"uid":"s-00c41f7c","endpoint":"10.1.0.7:4100","az":"east","model":"big","pod_group":1,"state":"ready","capacity_hint":8,"boot_ms":1700000000500}]}}]}`
 
 func reply(id uint16, serial uint32, engines ...string) []byte {
-	return standin.Reply(id, serial, Record, engines...)
+	return fake.Reply(id, serial, Record, engines...)
 }
 
 func follower(t *testing.T) *Follower {
@@ -85,7 +85,7 @@
 	if diff := cmp.Diff(want, state(f)); diff != "" {
 		t.Errorf("known (-want +got):\n%s", diff)
 	}
-	before := append([]brain.Entry(nil), f.List()...)
+	before := append([]admission.Entry(nil), f.List()...)
 	if fresh, err := f.Answer(reply(question(f), 42, same...)); !fresh || err != nil {
 		t.Fatal(fresh, err)
 	}
@@ -138,7 +138,7 @@
 	drains := []string{"s-00c41f7a.east 1 40 std 2 0 10.1.0.9:4100", same[1], same[2]}
 	for drop := 1; drop <= 2; drop++ { // its address, its text
 		if fresh, err := f.Answer(cut(41+uint32(drop), drop, drains...)); !fresh || err == nil || len(f.List()) != 3 ||
-			f.List()[0].State != brain.Draining || f.Addr(f.List()[0].Engine).String() != "10.1.0.9:4100" {
+			f.List()[0].State != admission.Draining || f.Addr(f.List()[0].Engine).String() != "10.1.0.9:4100" {
 			t.Error(drop, fresh, err, state(f))
 		}
 	}
@@ -146,7 +146,7 @@
 	if fresh, err := f.Answer(cut(50, 10, added...)); !fresh || err == nil || len(f.List()) != 3 {
 		t.Error(fresh, err, state(f))
 	}
-	if fresh, err := f.Answer(reply(question(f), 49, same...)); fresh || err != errOlder || f.List()[0].State != brain.Draining {
+	if fresh, err := f.Answer(reply(question(f), 49, same...)); fresh || err != errOlder || f.List()[0].State != admission.Draining {
 		t.Error("an older list that comes late, while the newer is not whole:", fresh, err, state(f))
 	}
 	if fresh, err := f.Answer(reply(question(f), 50, added...)); !fresh || err != nil || len(f.List()) != 4 || f.Rev() != 50 {
--- a/internal/expect/check.go
+++ b/internal/expect/check.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"dunereach/brain"
-	"dunereach/emulator/town"
+	"dunereach/admission"
+	"dunereach/emulator/cluster"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -192,7 +192,7 @@
 	}
 	values := w.values()
 	w.set.Stop = func() bool { return ctx.Err() != nil }
-	w.set.Watch = func(m *town.Moment) bool {
+	w.set.Watch = func(m *cluster.Moment) bool {
 		w.fill(values, m)
 		if c != nil && c.trace && (m.Try == nil || m.Try.Mark == c.keep) {
 			r.note(w, m)
@@ -212,7 +212,7 @@
 		}
 		return true
 	}
-	result, err := town.Run(w.set)
+	result, err := cluster.Run(w.set)
 	if err != nil {
 		return nil, err
 	}
@@ -241,7 +241,7 @@
 }
 
 func (c *cut) apply(w *world) {
-	var kept []town.Happening
+	var kept []cluster.Happening
 	for k, h := range w.set.Happens {
 		if !c.happens[k] {
 			kept = append(kept, h)
@@ -336,29 +336,29 @@
 	return append(head, last.lines...)
 }
 
-func (r *run) note(w *world, m *town.Moment) { r.lines = append(r.lines, w.line(m)) }
+func (r *run) note(w *world, m *cluster.Moment) { r.lines = append(r.lines, w.line(m)) }
 
 // line prints a moment.
-func (w *world) line(m *town.Moment) string {
+func (w *world) line(m *cluster.Moment) string {
 	s := fmt.Sprintf("%9.3f router %d %-8s", m.Now, m.Router, m.On)
 	if m.Try != nil {
 		s += fmt.Sprintf(" %s try %d", m.Stream.Name, m.Try.Number)
 	}
 	switch m.On {
-	case town.Sent:
+	case cluster.Sent:
 		s += fmt.Sprintf(" send %d to %s (told %s, level %d)", m.Number, w.named[m.Engine], stateName(m.Told), m.Level)
-	case town.SendEnded:
+	case cluster.SendEnded:
 		s += fmt.Sprintf(" send %d at %s: %s", m.Number, w.named[m.Engine], ends[m.End])
-	case town.Final:
+	case cluster.Final:
 		s += " " + m.Try.How.String()
-	case town.Listed:
+	case cluster.Listed:
 		s += fmt.Sprintf(" number %d, %d engines ready", m.Rev, m.Listed)
 	}
 	return s
 }
 
 // knew is what a router knew at a moment.
-func (w *world) knew(m *town.Moment) string {
+func (w *world) knew(m *cluster.Moment) string {
 	s := fmt.Sprintf("list number %d", m.Rev)
 	if m.Engine >= 0 {
 		s += fmt.Sprintf("; engine %s told %s for %.3f s and %s, %d queries there", w.named[m.Engine], stateName(m.Told), m.ToldFor,
@@ -370,7 +370,7 @@
 	return s
 }
 
-func stateName(s brain.State) string { return [...]string{"gone", "draining", "ready"}[s] }
+func stateName(s admission.State) string { return [...]string{"gone", "draining", "ready"}[s] }
 
 var ends = [...]string{"answered", "errored", "turned_away", "timed_out", "unreachable", "cut", "cancelled", "moot"}
 
@@ -387,7 +387,7 @@
 }
 
 // see takes a moment in; why tells how it broke the hold.
-func (h *hold) see(m *town.Moment, values map[string]any) (why string, err error) {
+func (h *hold) see(m *cluster.Moment, values map[string]any) (why string, err error) {
 	on := func(name string) bool { return m.On.String() == name }
 	switch {
 	case h.Never != nil && on(h.Never.On):
@@ -432,7 +432,7 @@
 			}
 			return "", err
 		}
-		if m.On == town.Final { // nothing comes of it any more
+		if m.On == cluster.Final { // nothing comes of it any more
 			if from, ok := h.open[client]; ok {
 				delete(h.open, client)
 				return h.late(m.Now - from), nil
--- a/internal/expect/conditions.go
+++ b/internal/expect/conditions.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math"
 
-	"dunereach/emulator/town"
+	"dunereach/emulator/cluster"
 
 	"github.com/google/cel-go/cel"
 	"github.com/google/cel-go/common/ast"
@@ -76,7 +76,7 @@
 }
 
 // fill sets the fields as a moment has them.
-func (w *world) fill(v map[string]any, m *town.Moment) {
+func (w *world) fill(v map[string]any, m *cluster.Moment) {
 	v["now"], v["router"], v["rev"], v["ready"] = m.Now, int64(m.Router), int64(m.Rev), int64(m.Listed)
 	v["engine"], v["kind"], v["zone"], v["cell"] = "", "", "", int64(0)
 	v["told"], v["state"] = "", ""
@@ -91,7 +91,7 @@
 	}
 	v["number"], v["out"], v["queries"], v["level"] = int64(m.Number), int64(m.Out), int64(m.EngineN), int64(m.Level)
 	v["ended"], v["further"], v["taken"], v["key_open"] = ends[m.End], int64(m.Further), int64(m.Commands), m.KeyOpen
-	if m.On != town.SendEnded {
+	if m.On != cluster.SendEnded {
 		v["ended"] = ""
 	}
 	v["recent"], v["cores"], v["last_end"], v["first_zone"], v["since_first"] = m.Recent, 0.0, "", "", m.Since
