A frame for the scale tests: `make show-scale`, three parts that can be run alone

The constructors of measure's rows are exported and have names that say what they check (Figure, AtMost, AtLeast, Between).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= deploy/example.json
 LISTEN ?= 127.0.0.1:4100
 
-.PHONY: build test lint run demo demo-fleet bench fuzz explore schema expect show-budgets show-expect show-owner show-failover show-state soak-fleet
+.PHONY: build test lint run demo demo-fleet bench fuzz explore schema expect show-budgets show-expect show-owner show-failover show-state show-scale soak-fleet
 
 build:
 	mkdir -p bin
@@ -74,6 +74,10 @@
 show-state: build
 	bin/duneshow state
 
+# How cost grows with the size of a fleet, up to the size that docs/CAPACITY.md is worked out for.
+show-scale: build
+	bin/duneshow scale
+
 # Ten minutes of drawn faults over five keepers and forty routers; its table is kept in docs/soak-fleet.md.
 soak-fleet: build
 	bin/duneshow soak-fleet 10
--- /dev/null
+++ b/cmd/duneshow/scale.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"dunereach/internal/measure"
+	"dunereach/internal/scale"
+
+	"github.com/spf13/cobra"
+)
+
+// scaleCommand measures how cost grows with the size of a fleet, all parts or those named.
+func scaleCommand() *cobra.Command {
+	short := false
+	command := &cobra.Command{
+		Use:   "scale [PART ...]",
+		Short: "Measure how cost grows with the size of a fleet; parts are datapath, control and subset",
+	}
+	command.Flags().BoolVar(&short, "short", false, "the form that CI runs: smaller sizes, under half a minute a part")
+	command.RunE = func(_ *cobra.Command, names []string) error {
+		parts := scale.Parts
+		if len(names) > 0 {
+			parts = nil
+		}
+		for _, name := range names {
+			part, err := scale.Find(name)
+			if err != nil {
+				return err
+			}
+			parts = append(parts, part)
+		}
+		return runScale(parts, short)
+	}
+	return command
+}
+
+// runScale runs parts one after another, so that none disturbs another's times, and prints all of them before it fails.
+func runScale(parts []scale.Part, short bool) error {
+	good := true
+	for _, part := range parts {
+		fmt.Printf("# %s: %s\n", part.Name, part.About)
+		rows, err := part.Run(short)
+		if err != nil {
+			return fmt.Errorf("%s: %w", part.Name, err)
+		}
+		good = measure.Print(os.Stdout, rows) && good
+	}
+	if !good {
+		return errShort
+	}
+	return nil
+}
--- a/internal/measure/budgets.go
+++ b/internal/measure/budgets.go
@@ -116,12 +116,12 @@
 			}
 			wait, sent, inTime := behind(r, 0)
 			if name := "report behind " + c.name + " flood: "; on {
-				rows = append(rows, most(name+"longest wait over target", wait, 1),
-					least(name+"share sent of those held", sent, c.sent), least(name+"share in time", inTime, c.time))
+				rows = append(rows, AtMost(name+"longest wait over target", wait, 1),
+					AtLeast(name+"share sent of those held", sent, c.sent), AtLeast(name+"share in time", inTime, c.time))
 			} else {
 				name = "the same, no ageing and no turns: "
-				rows = append(rows, free(name+"longest wait over target", wait), free(name+"share sent of those held", sent),
-					free(name+"share in time", inTime))
+				rows = append(rows, Figure(name+"longest wait over target", wait), Figure(name+"share sent of those held", sent),
+					Figure(name+"share in time", inTime))
 			}
 		}
 	}
@@ -157,9 +157,9 @@
 	for _, w := range work {
 		all += w
 	}
-	rows := []Row{least("eight teams under full load: cores in use", all/(s.Length-warm)/cores, 0.8)}
+	rows := []Row{AtLeast("eight teams under full load: cores in use", all/(s.Length-warm)/cores, 0.8)}
 	for k, w := range weights {
-		rows = append(rows, within(fmt.Sprintf("eight teams under full load: work over budget, team %d of weight %v", k, w),
+		rows = append(rows, Between(fmt.Sprintf("eight teams under full load: work over budget, team %d of weight %v", k, w),
 			work[k]/all/(w/sum), 0.95, 1.05))
 	}
 	return rows, nil
@@ -196,9 +196,9 @@
 			first = max(first, t.Sent-t.Taken)
 		}
 	}
-	return []Row{within("lent by weight: work of the heavier team over the lighter's", before[2]/before[0], 1.9, 2.1),
-		within("called back: share of the team that idled, of its budget", after[1]/(after[0]+after[1]+after[2])/0.25, 0.95, 1.05),
-		most("called back: longest wait for a send in its first second (s)", first, 2)}, nil
+	return []Row{Between("lent by weight: work of the heavier team over the lighter's", before[2]/before[0], 1.9, 2.1),
+		Between("called back: share of the team that idled, of its budget", after[1]/(after[0]+after[1]+after[2])/0.25, 0.95, 1.05),
+		AtMost("called back: longest wait for a send in its first second (s)", first, 2)}, nil
 }
 
 // tenfold: three teams that keep to their budgets, beside one that keeps to its own or sends ten times that.
@@ -227,8 +227,8 @@
 		return nil, err
 	}
 	loud, err := service(10)
-	return []Row{free("benefit in time of three teams inside their budgets", calm),
-		least("the same beside one that sends ten times its own, of that", loud/calm, 0.95)}, err
+	return []Row{Figure("benefit in time of three teams inside their budgets", calm),
+		AtLeast("the same beside one that sends ten times its own, of that", loud/calm, 0.95)}, err
 }
 
 // promises: what is told of waits against what came, under load that comes and goes.
@@ -284,13 +284,13 @@
 		slices.Sort(ratios)
 		slices.Sort(returns)
 		rows = append(rows,
-			within(fmt.Sprintf("team %d, held: wait over the median told", k), stat.Quantile(0.5, stat.Empirical, ratios, nil), 0.75, 1.25),
-			within(fmt.Sprintf("team %d, held: share under the 90th percentile told", k), covered/kept, 0.85, 0.95))
+			Between(fmt.Sprintf("team %d, held: wait over the median told", k), stat.Quantile(0.5, stat.Empirical, ratios, nil), 0.75, 1.25),
+			Between(fmt.Sprintf("team %d, held: share under the 90th percentile told", k), covered/kept, 0.85, 0.95))
 		if len(returns) > 0 {
 			rows = append(rows,
-				within(fmt.Sprintf("team %d, refused: wait over the median told", k), stat.Quantile(0.5, stat.Empirical, returns, nil), 0.75, 1.25),
-				within(fmt.Sprintf("team %d, refused: share under the 90th percentile told", k), back/backs, 0.85, 0.95),
-				free(fmt.Sprintf("team %d, refused: commands looked at", k), backs))
+				Between(fmt.Sprintf("team %d, refused: wait over the median told", k), stat.Quantile(0.5, stat.Empirical, returns, nil), 0.75, 1.25),
+				Between(fmt.Sprintf("team %d, refused: share under the 90th percentile told", k), back/backs, 0.85, 0.95),
+				Figure(fmt.Sprintf("team %d, refused: commands looked at", k), backs))
 		}
 	}
 	return rows, nil
@@ -324,12 +324,12 @@
 		}
 	}
 	kept, ignored := by[0], by[1]
-	return []Row{least("refused reports that come when told: let in at the next try", kept.next/kept.refused, 0.5),
-		free("refused reports that come again at once: let in at the next try", ignored.next/ignored.refused),
-		least("the same, when told over at once", kept.next/kept.refused/(ignored.next/ignored.refused), 1),
-		free("come when told: answered in the end", kept.answered/kept.refused),
-		free("come again at once: answered in the end", ignored.answered/ignored.refused),
-		least("the same, when told over at once", kept.answered/kept.refused/(ignored.answered/ignored.refused), 1)}
+	return []Row{AtLeast("refused reports that come when told: let in at the next try", kept.next/kept.refused, 0.5),
+		Figure("refused reports that come again at once: let in at the next try", ignored.next/ignored.refused),
+		AtLeast("the same, when told over at once", kept.next/kept.refused/(ignored.next/ignored.refused), 1),
+		Figure("come when told: answered in the end", kept.answered/kept.refused),
+		Figure("come again at once: answered in the end", ignored.answered/ignored.refused),
+		AtLeast("the same, when told over at once", kept.answered/kept.refused/(ignored.answered/ignored.refused), 1)}
 }
 
 // spilling: one team's long reports have filled all places when another's come, every thirty seconds; engines have memory
@@ -372,9 +372,9 @@
 		}
 		_, _, share := behind(r, 1)
 		inTime, spilt = append(inTime, share), append(spilt, r.Wasted)
-		rows = append(rows, free(c.name+": share in time of the team that waited", share), free(c.name+": core seconds spilt", r.Wasted),
-			most(c.name+": changes of level a second", n/(s.Length-warm), 20))
+		rows = append(rows, Figure(c.name+": share in time of the team that waited", share), Figure(c.name+": core seconds spilt", r.Wasted),
+			AtMost(c.name+": changes of level a second", n/(s.Length-warm), 20))
 	}
-	return append(rows, least("in time, stepping back over not", inTime[0]/inTime[2], 1),
-		most("spilt, guarded over not", spilt[0]/spilt[1], 1)), nil
+	return append(rows, AtLeast("in time, stepping back over not", inTime[0]/inTime[2], 1),
+		AtMost("spilt, guarded over not", spilt[0]/spilt[1], 1)), nil
 }
--- a/internal/measure/decision.go
+++ b/internal/measure/decision.go
@@ -86,9 +86,9 @@
 		over[n] = with[n] / without[n]
 	}
 	return []Row{
-		free("a command's decisions without the fleet, ns", quantile(without, 0.5)),
-		free("a command's decisions with it, ns", quantile(with, 0.5)),
-		most("a command's decisions, with it over without", quantile(over, 0.5), 1.02),
-		most("a command's allocations with it", math.Round(allocs/1000), 0),
+		Figure("a command's decisions without the fleet, ns", quantile(without, 0.5)),
+		Figure("a command's decisions with it, ns", quantile(with, 0.5)),
+		AtMost("a command's decisions, with it over without", quantile(over, 0.5), 1.02),
+		AtMost("a command's allocations with it", math.Round(allocs/1000), 0),
 	}, nil
 }
--- a/internal/measure/expect.go
+++ b/internal/measure/expect.go
@@ -59,14 +59,14 @@
 			noticed++
 		}
 	}
-	return []Row{least("expectations", float64(len(all)), 50), most("seconds for all on four cores", took, 60),
-		least("of them passed", float64(expect.Count(all)[expect.Passed])/float64(len(all)), 1),
-		least("same outcomes on four cores and on all", same, 1),
-		free("configurations broken", float64(len(mutants))), least("of them noticed", noticed/float64(len(mutants)), 1),
-		within("planted file of four: void", float64(found[expect.Void]), 2, 2),
-		within("planted file of four: never exercised", float64(found[expect.Idle]), 1, 1),
-		within("planted file of four: failed", float64(found[expect.Failed]), 1, 1),
-		most("memory from the system at its peak (MB)", float64(memory.Sys)/(1<<20), 500)}, nil
+	return []Row{AtLeast("expectations", float64(len(all)), 50), AtMost("seconds for all on four cores", took, 60),
+		AtLeast("of them passed", float64(expect.Count(all)[expect.Passed])/float64(len(all)), 1),
+		AtLeast("same outcomes on four cores and on all", same, 1),
+		Figure("configurations broken", float64(len(mutants))), AtLeast("of them noticed", noticed/float64(len(mutants)), 1),
+		Between("planted file of four: void", float64(found[expect.Void]), 2, 2),
+		Between("planted file of four: never exercised", float64(found[expect.Idle]), 1, 1),
+		Between("planted file of four: failed", float64(found[expect.Failed]), 1, 1),
+		AtMost("memory from the system at its peak (MB)", float64(memory.Sys)/(1<<20), 500)}, nil
 }
 
 const plantedFile = `{"given": {"seconds": 5, "traffic": [{"name": "t", "profile": "quick", "tenant": "depot", "rate": 20, "work": 0.1}]},
--- a/internal/measure/failover.go
+++ b/internal/measure/failover.go
@@ -70,11 +70,11 @@
 func drawnDays(from, count uint64) ([]Row, error) {
 	broken, planned, real, plans, err := DrawnDays(from, count)
 	return []Row{
-		least("drawn days: how many", float64(count), 500),
-		least("drawn days: plans", float64(plans), float64(count)),
-		most("drawn days: planned over what a zone is taken to bear, any mixture", planned, 1+1e-6),
-		most("drawn days: offered over what a zone can, for a second, by others", real, 1.05),
-		most("drawn days: with a rule broken", float64(len(broken)), 0),
+		AtLeast("drawn days: how many", float64(count), 500),
+		AtLeast("drawn days: plans", float64(plans), float64(count)),
+		AtMost("drawn days: planned over what a zone is taken to bear, any mixture", planned, 1+1e-6),
+		AtMost("drawn days: offered over what a zone can, for a second, by others", real, 1.05),
+		AtMost("drawn days: with a rule broken", float64(len(broken)), 0),
 	}, err
 }
 
@@ -97,7 +97,7 @@
 		}
 		share, changes = min(share, r.Near*worth(r, 5, 90)/max(best.Near*worth(best, 5, 90), 1e-9)), changes+len(r.Changes)
 	}
-	return []Row{least("calm days: work kept near, over the best possible, lowest", share, 0.99), free("calm days: plans", float64(changes))}, nil
+	return []Row{AtLeast("calm days: work kept near, over the best possible, lowest", share, 0.99), Figure("calm days: plans", float64(changes))}, nil
 }
 
 func worth(r zones.Result, from, to int) float64 { return stat.Mean(r.Worth[from:to], nil) }
@@ -145,17 +145,17 @@
 	gain, half := interval(local)
 	over, halfOver := interval(locality)
 	return []Row{
-		least("a zone lost: worth in 30 s over the bound that knows all, mean", stat.Mean(share, nil), 0.95),
-		free("a zone lost: the same, lowest day", slices.Min(share)),
-		free("a zone lost: gain over today's local rule, mean", gain),
-		free("a zone lost: gain over today's local rule, half of a 95 % interval", half),
-		free("a zone lost: gain over locality with 1.4 and panic, mean", over),
-		free("a zone lost: gain over locality, half of a 95 % interval", halfOver),
-		free("a zone lost: most that today's rule offers a zone over what it can", other),
-		most("a zone lost: seconds to a plan, p50", quantile(plan, 0.5), 2),
-		most("a zone lost: seconds to a plan, p99", quantile(plan, 0.99), 4),
-		free("a zone back: seconds until 99 % of near work is near again, p50", quantile(near, 0.5)),
-		most("a zone back: seconds until 99 % of near work is near again, p99", quantile(near, 0.99), 30),
+		AtLeast("a zone lost: worth in 30 s over the bound that knows all, mean", stat.Mean(share, nil), 0.95),
+		Figure("a zone lost: the same, lowest day", slices.Min(share)),
+		Figure("a zone lost: gain over today's local rule, mean", gain),
+		Figure("a zone lost: gain over today's local rule, half of a 95 % interval", half),
+		Figure("a zone lost: gain over locality with 1.4 and panic, mean", over),
+		Figure("a zone lost: gain over locality, half of a 95 % interval", halfOver),
+		Figure("a zone lost: most that today's rule offers a zone over what it can", other),
+		AtMost("a zone lost: seconds to a plan, p50", quantile(plan, 0.5), 2),
+		AtMost("a zone lost: seconds to a plan, p99", quantile(plan, 0.99), 4),
+		Figure("a zone back: seconds until 99 % of near work is near again, p50", quantile(near, 0.5)),
+		AtMost("a zone back: seconds until 99 % of near work is near again, p99", quantile(near, 0.99), 30),
 	}, nil
 }
 
@@ -179,9 +179,9 @@
 		plans, worst, real = plans+n/(to-from)*60/float64(days), max(worst, n/(to-from)*60), max(real, r.Worst)
 	}
 	return []Row{
-		most("flapping every 5 s: plans a minute, mean", plans, 2),
-		free("flapping every 5 s: plans a minute, most of a day", worst),
-		most("flapping every 5 s: offered over what a zone can", real, 1.05),
+		AtMost("flapping every 5 s: plans a minute, mean", plans, 2),
+		Figure("flapping every 5 s: plans a minute, most of a day", worst),
+		AtMost("flapping every 5 s: offered over what a zone can", real, 1.05),
 	}, nil
 }
 
@@ -206,7 +206,7 @@
 			}
 		}
 	}
-	return []Row{least("observers cut off or lying (four in ten): cases", float64(cases), 100), most("observers cut off or lying: zones given up that are well", float64(given), 0)}, nil
+	return []Row{AtLeast("observers cut off or lying (four in ten): cases", float64(cases), 100), AtMost("observers cut off or lying: zones given up that are well", float64(given), 0)}, nil
 }
 
 func evidenceBytes(n int) ([]Row, error) {
@@ -215,7 +215,7 @@
 		r.Sights = append(r.Sights, failover.Sight{Sent: 1234, Bad: 12, Turned: 3, Late: 45, Work: 123.456789, Slow: 1.23456789, Ready: 64, Cold: 7.123456789, Drains: 8, Doubt: 16})
 	}
 	body, err := json.Marshal(r)
-	return []Row{most(fmt.Sprintf("evidence of %d zones, everything seen: bytes a router and second", n), float64(len(body)), 2048)}, err
+	return []Row{AtMost(fmt.Sprintf("evidence of %d zones, everything seen: bytes a router and second", n), float64(len(body)), 2048)}, err
 }
 
 // zoneCut cuts a zone's engines off from all routers, as processes: with the fleet's plans, and with none.
@@ -294,11 +294,11 @@
 		return 1 - float64(s.after.Answered-s.before.Answered)/max(asked, 1)
 	}
 	return []Row{
-		least("processes: commands in the 12 s after a zone was cut off", float64(all[0].after.Asked-all[0].before.Asked), 2000),
-		most("processes: seconds to a plan without it", all[0].plan, 4),
-		most("processes: sends into it when the plan is known, over those elsewhere", float64(all[0].into)/max(float64(all[0].elsewhere), 1), 0.02),
-		most("processes: commands not answered, share", lost(all[0]), lost(all[1])+0.02),
-		free("processes: the same without plans", lost(all[1])),
-		free("processes: seconds until it is planned with in full again", all[0].back),
+		AtLeast("processes: commands in the 12 s after a zone was cut off", float64(all[0].after.Asked-all[0].before.Asked), 2000),
+		AtMost("processes: seconds to a plan without it", all[0].plan, 4),
+		AtMost("processes: sends into it when the plan is known, over those elsewhere", float64(all[0].into)/max(float64(all[0].elsewhere), 1), 0.02),
+		AtMost("processes: commands not answered, share", lost(all[0]), lost(all[1])+0.02),
+		Figure("processes: the same without plans", lost(all[1])),
+		Figure("processes: seconds until it is planned with in full again", all[0].back),
 	}, nil
 }
--- a/internal/measure/owner.go
+++ b/internal/measure/owner.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(virtualRows(f, runs, wrong), least("virtual time: of the runs asked for", float64(runs)/float64(count), 1)), nil
+	return append(virtualRows(f, runs, wrong), AtLeast("virtual time: of the runs asked for", float64(runs)/float64(count), 1)), nil
 }
 
 func virtual(seconds float64) ([]Row, error) {
@@ -153,14 +153,14 @@
 		fmt.Fprintln(os.Stderr, w)
 	}
 	return []Row{
-		least("virtual time: drawn runs", float64(runs), 50),
-		most("virtual time: runs with something wrong", float64(len(wrong)), 0),
-		most("virtual time: moments with two owners that may act", float64(f.Twice), 0),
-		most("virtual time: live parts over an allowance, at most", f.Worst, 1+1e-9),
-		least("virtual time: words under an old fence, all refused", float64(f.OldTried), 1),
-		least("virtual time: deals that came after their life, all refused", float64(f.Late), 1),
-		free("virtual time: works lost", float64(f.Lost)),
-		free("virtual time: operations in histories that porcupine found in order", float64(f.Operations)),
+		AtLeast("virtual time: drawn runs", float64(runs), 50),
+		AtMost("virtual time: runs with something wrong", float64(len(wrong)), 0),
+		AtMost("virtual time: moments with two owners that may act", float64(f.Twice), 0),
+		AtMost("virtual time: live parts over an allowance, at most", f.Worst, 1+1e-9),
+		AtLeast("virtual time: words under an old fence, all refused", float64(f.OldTried), 1),
+		AtLeast("virtual time: deals that came after their life, all refused", float64(f.Late), 1),
+		Figure("virtual time: works lost", float64(f.Lost)),
+		Figure("virtual time: operations in histories that porcupine found in order", float64(f.Operations)),
 	}
 }
 
@@ -251,10 +251,10 @@
 		fmt.Fprintln(os.Stderr, w)
 	}
 	rows := []Row{
-		most("processes: acts under an old fence", float64(all.Old), 0),
-		least("processes: acts", float64(all.Acts), 100),
-		most("processes: live parts over an allowance, at most", all.Worst, 1+1e-9),
-		most("processes: other things wrong", float64(len(all.Wrong)-all.Old), 0),
+		AtMost("processes: acts under an old fence", float64(all.Old), 0),
+		AtLeast("processes: acts", float64(all.Acts), 100),
+		AtMost("processes: live parts over an allowance, at most", all.Worst, 1+1e-9),
+		AtMost("processes: other things wrong", float64(len(all.Wrong)-all.Old), 0),
 	}
 	for _, how := range []string{"kill", "end"} {
 		if len(gaps[how]) == 0 {
@@ -262,11 +262,11 @@
 		}
 	}
 	rows = append(rows,
-		free("next owner's first act after a loss, p50 s", quantile(gaps["kill"], 0.5)),
-		most("next owner's first act after a loss, p99 s", quantile(gaps["kill"], 0.99), ownerLease+1),
-		free("next owner's first act after SIGTERM, p50 s", quantile(gaps["end"], 0.5)),
-		most("next owner's first act after SIGTERM, p99 s", quantile(gaps["end"], 0.99), 0.3),
-		least("works that were handed over", float64(len(gaps["kill"])+len(gaps["end"])), 20))
+		Figure("next owner's first act after a loss, p50 s", quantile(gaps["kill"], 0.5)),
+		AtMost("next owner's first act after a loss, p99 s", quantile(gaps["kill"], 0.99), ownerLease+1),
+		Figure("next owner's first act after SIGTERM, p50 s", quantile(gaps["end"], 0.5)),
+		AtMost("next owner's first act after SIGTERM, p99 s", quantile(gaps["end"], 0.99), 0.3),
+		AtLeast("works that were handed over", float64(len(gaps["kill"])+len(gaps["end"])), 20))
 	return rows, nil
 }
 
@@ -305,12 +305,12 @@
 	}
 	with, without := figures[0], figures[1]
 	return []Row{
-		least("commands with keepers", float64(with.Asked), 500),
-		least("commands without", float64(without.Asked), 500),
-		most("commands failed because of keepers lost", float64(without.Failed-with.Failed), 0),
-		most("commands without an answer because of keepers lost", float64(without.Cut-with.Cut), 0),
-		free("commands shed with keepers, share", float64(with.Shed)/float64(with.Asked)),
-		most("commands shed without, share", float64(without.Shed)/float64(without.Asked), 0.02+float64(with.Shed)/float64(with.Asked)),
+		AtLeast("commands with keepers", float64(with.Asked), 500),
+		AtLeast("commands without", float64(without.Asked), 500),
+		AtMost("commands failed because of keepers lost", float64(without.Failed-with.Failed), 0),
+		AtMost("commands without an answer because of keepers lost", float64(without.Cut-with.Cut), 0),
+		Figure("commands shed with keepers, share", float64(with.Shed)/float64(with.Asked)),
+		AtMost("commands shed without, share", float64(without.Shed)/float64(without.Asked), 0.02+float64(with.Shed)/float64(with.Asked)),
 	}, nil
 }
 
@@ -421,12 +421,12 @@
 		return nil, err
 	}
 	return []Row{
-		most("300 sessions: the busiest keeper, cores", idle, 0.1),
-		most("300 sessions: calls a router and second", idleCalls, 3),
-		most("300 sessions: bytes a router and second", idleBytes, 4096),
-		free("300 sessions and four cold engines: the busiest keeper, cores", busy),
-		free("300 sessions and four cold engines: calls a router and second", busyCalls),
-		free("300 sessions and four cold engines: bytes a router and second", busyBytes),
+		AtMost("300 sessions: the busiest keeper, cores", idle, 0.1),
+		AtMost("300 sessions: calls a router and second", idleCalls, 3),
+		AtMost("300 sessions: bytes a router and second", idleBytes, 4096),
+		Figure("300 sessions and four cold engines: the busiest keeper, cores", busy),
+		Figure("300 sessions and four cold engines: calls a router and second", busyCalls),
+		Figure("300 sessions and four cold engines: bytes a router and second", busyBytes),
 	}, nil
 }
 
@@ -442,9 +442,9 @@
 		wrong = math.NaN()
 	}
 	return []Row{
-		least("states explored, all orders of two owners and a receiver", float64(states), 10_000),
-		most("states with a rule broken", wrong, 0),
-		free("seconds that it took", time.Since(began).Seconds()),
+		AtLeast("states explored, all orders of two owners and a receiver", float64(states), 10_000),
+		AtMost("states with a rule broken", wrong, 0),
+		Figure("seconds that it took", time.Since(began).Seconds()),
 	}, nil
 }
 
@@ -476,7 +476,7 @@
 	}
 	const before = 8.7 // MB, of the version without a fleet
 	return []Row{
-		most("router at rest without the section, MB", memory[0], before+0.5),
-		most("router at rest with it, MB", memory[1], 16),
+		AtMost("router at rest without the section, MB", memory[0], before+0.5),
+		AtMost("router at rest with it, MB", memory[1], 16),
 	}, nil
 }
--- a/internal/measure/show.go
+++ b/internal/measure/show.go
@@ -35,11 +35,22 @@
 	return "-"
 }
 
-func free(name string, v float64) Row         { return Row{Name: name, Value: v} }
-func most(name string, v, bound float64) Row  { return Row{Name: name, Value: v, Most: &bound} }
-func least(name string, v, bound float64) Row { return Row{Name: name, Value: v, Least: &bound} }
-func within(name string, v, lo, hi float64) Row {
-	return Row{Name: name, Value: v, Least: &lo, Most: &hi}
+// Figure is a row without bounds, printed for comparison.
+func Figure(name string, value float64) Row { return Row{Name: name, Value: value} }
+
+// AtMost is a row that holds while its value is not above the bound.
+func AtMost(name string, value, bound float64) Row {
+	return Row{Name: name, Value: value, Most: &bound}
+}
+
+// AtLeast is a row that holds while its value is not below the bound.
+func AtLeast(name string, value, bound float64) Row {
+	return Row{Name: name, Value: value, Least: &bound}
+}
+
+// Between is a row that holds while its value lies between two bounds, which count as held.
+func Between(name string, value, low, high float64) Row {
+	return Row{Name: name, Value: value, Least: &low, Most: &high}
 }
 
 // Print writes rows as a table and tells whether all hold.
--- a/internal/measure/state.go
+++ b/internal/measure/state.go
@@ -187,11 +187,11 @@
 		return nil, err
 	}
 	return []Row{
-		least("kills of a writing process, each followed by a read", float64(done), float64(many)),
-		most("reads that found something half written", float64(half), 0),
-		most("reads that lacked what had been synced", float64(lost), 0),
-		most("reads whose generation went back", float64(back), 0),
-		free("journals cut short by the kill, as is normal", float64(cut)),
+		AtLeast("kills of a writing process, each followed by a read", float64(done), float64(many)),
+		AtMost("reads that found something half written", float64(half), 0),
+		AtMost("reads that lacked what had been synced", float64(lost), 0),
+		AtMost("reads whose generation went back", float64(back), 0),
+		Figure("journals cut short by the kill, as is normal", float64(cut)),
 	}, nil
 }
 
@@ -220,12 +220,12 @@
 			}
 		}
 		rows = append(rows,
-			within("knowledge of "+a.name+": processing times, of forty", r.Profiles[0].Times.N(), a.times[0], a.times[1]),
-			within("knowledge of "+a.name+": engines still taken for ill, of one", ill, a.ill[0], a.ill[1]),
-			within("knowledge of "+a.name+": a tenant's debt of sixty", -r.Tenants[0].Left, a.debts[0], a.debts[1]))
+			Between("knowledge of "+a.name+": processing times, of forty", r.Profiles[0].Times.N(), a.times[0], a.times[1]),
+			Between("knowledge of "+a.name+": engines still taken for ill, of one", ill, a.ill[0], a.ill[1]),
+			Between("knowledge of "+a.name+": a tenant's debt of sixty", -r.Tenants[0].Left, a.debts[0], a.debts[1]))
 	}
 	r := warmstart.Recall(kept, nil, warmstart.Moment{Wall: then.Wall - 100, Up: 5, Boot: "c"}, settings, rates)
-	return append(rows, most("a clock that went back: processing times, of forty", r.Profiles[0].Times.N(), 10), most("a clock that went back: engines taken for ill", float64(len(r.Engines)), 0))
+	return append(rows, AtMost("a clock that went back: processing times, of forty", r.Profiles[0].Times.N(), 10), AtMost("a clock that went back: engines taken for ill", float64(len(r.Engines)), 0))
 }
 
 // fullKept is as much as is read at all: a thousand profiles, four thousand engines and tenants.
@@ -288,9 +288,9 @@
 	runtime.ReadMemStats(&after)
 	_, bytes := store.Size(dir, "n1")
 	return []Row{
-		free("a full folder, MB", float64(bytes)/(1<<20)),
-		most("a full folder: ms to read and believe", float64(took.Microseconds())/1000, 500),
-		most("a full folder: MB that reading takes in all", float64(after.TotalAlloc-before.TotalAlloc)/(1<<20), 64),
+		Figure("a full folder, MB", float64(bytes)/(1<<20)),
+		AtMost("a full folder: ms to read and believe", float64(took.Microseconds())/1000, 500),
+		AtMost("a full folder: MB that reading takes in all", float64(after.TotalAlloc-before.TotalAlloc)/(1<<20), 64),
 	}, nil
 }
 
@@ -318,9 +318,9 @@
 		adds = append(adds, p99[1][len(adds)]-p99[0][len(adds)])
 	}
 	return []Row{
-		free("the owner's timers late at p99 with no snapshots, ms", 1000*quantile(p99[0], 0.5)),
-		free("the same with a snapshot each second, ms", 1000*quantile(p99[1], 0.5)),
-		most("what snapshots add at p99, ms, median of pairs", 1000*quantile(adds, 0.5), 1),
+		Figure("the owner's timers late at p99 with no snapshots, ms", 1000*quantile(p99[0], 0.5)),
+		Figure("the same with a snapshot each second, ms", 1000*quantile(p99[1], 0.5)),
+		AtMost("what snapshots add at p99, ms, median of pairs", 1000*quantile(adds, 0.5), 1),
 	}, nil
 }
 
@@ -447,12 +447,12 @@
 	for n, span := range spans {
 		name := fmt.Sprintf("restart in the peak, %.0f s: ", span)
 		nothing, knew, never := stat.Mean(inTime[0][n], nil), stat.Mean(inTime[1][n], nil), stat.Mean(inTime[2][n], nil)
-		rows = append(rows, free(name+"in time from nothing", nothing), free(name+"with what it knew", knew), free(name+"never stopped", never),
-			most(name+"regret with what it knew", never-knew, max(0.02, (never-nothing)/2)),
-			most(name+"refused with what it knew, over refused from nothing", stat.Mean(shed[1][n], nil)/math.Max(stat.Mean(shed[0][n], nil), 1e-9), 1.05))
+		rows = append(rows, Figure(name+"in time from nothing", nothing), Figure(name+"with what it knew", knew), Figure(name+"never stopped", never),
+			AtMost(name+"regret with what it knew", never-knew, max(0.02, (never-nothing)/2)),
+			AtMost(name+"refused with what it knew, over refused from nothing", stat.Mean(shed[1][n], nil)/math.Max(stat.Mean(shed[0][n], nil), 1e-9), 1.05))
 	}
-	return append(rows, free("restart in the peak: sends to an engine known to hang, a day, from nothing", sends[0]/float64(days)),
-		most("restart in the peak: the same with what it knew, over that", sends[1]/max(sends[0], 1), 0.8)), nil
+	return append(rows, Figure("restart in the peak: sends to an engine known to hang, a day, from nothing", sends[0]/float64(days)),
+		AtMost("restart in the peak: the same with what it knew, over that", sends[1]/max(sends[0], 1), 0.8)), nil
 }
 
 // rolled restarts many routers one after the other while an engine hangs, which is well again before the last of them is back: they all
@@ -504,7 +504,7 @@
 		worst = max(worst, n)
 	}
 	return []Row{
-		most(fmt.Sprintf("%d routers restarted, all told that a well engine hangs: seconds until it has half of its share", routers), took, 6),
-		most("the same: of them in one twentieth of a second, in its first second", worst/float64(routers), 0.34),
+		AtMost(fmt.Sprintf("%d routers restarted, all told that a well engine hangs: seconds until it has half of its share", routers), took, 6),
+		AtMost("the same: of them in one twentieth of a second, in its first second", worst/float64(routers), 0.34),
 	}, nil
 }
--- /dev/null
+++ b/internal/scale/scale.go
@@ -0,0 +1,51 @@
+// Package scale measures how cost grows with the size of a fleet: slopes of processor time, memory, messages and disk, and
+// failures played at the size that the fleet is designed for. docs/CAPACITY.md is worked out from its rows.
+package scale
+
+import (
+	"fmt"
+
+	"dunereach/internal/measure"
+)
+
+// The size that the fleet is designed for.
+const (
+	TargetRouters           = 1600
+	TargetDatabases         = 3900
+	TargetClientConnections = 3_700_000
+	TargetStatements        = 1_200_000 // a second
+	TargetZones             = 7
+	TargetRegions           = 2
+)
+
+// What control may cost a router, and how many machines are set aside for it.
+const (
+	ControlCore         = 0.025 // of one core
+	ControlMemoryMB     = 128
+	ControlBytes        = 11_000 // a second
+	CoordinatorMachines = 7
+)
+
+// Part is one group of measurements that can be run alone.
+type Part struct {
+	Name, About string
+	// Run measures. Short is the form that CI runs: smaller sizes, under half a minute.
+	Run func(short bool) ([]measure.Row, error)
+}
+
+// Parts are all groups, in the order in which they are printed.
+var Parts = []Part{
+	{"datapath", "Decisions, connections and configuration of one router, by size", DataPath},
+	{"control", "Coordinators and hollow routers over real sockets, by size and under faults", Control},
+	{"subset", "Subsets of the databases: spread, churn, cost, and what they do to service", Subset},
+}
+
+// Find gives the part of that name.
+func Find(name string) (Part, error) {
+	for _, part := range Parts {
+		if part.Name == name {
+			return part, nil
+		}
+	}
+	return Part{}, fmt.Errorf("no part %q of the scale tests", name)
+}
