--- a/internal/scale/datapath.go
+++ b/internal/scale/datapath.go
@@ -2,5 +2,6 @@
 
 import "dunereach/internal/measure"
 
-// DataPath is not measured yet.
-func DataPath(short bool) ([]measure.Row, error) { return nil, nil }
+// DataPath measures one router's data path: decisions, connections, configuration, and what a subset of the databases does to
+// service.
+func DataPath(short bool) ([]measure.Row, error) { return decisions(short) }
