--- a/emulator/cluster/town.go
+++ b/emulator/cluster/town.go
@@ -69,6 +69,9 @@
 	Stop    func() bool               // is asked now and then whether to end, nil: no
 	Recall  Recall                    // what a router that starts again believes of what it knew, nil: nothing
 	Keep    func(client int) bool     // clients that come at all, in the order in which they do, nil: all
+
+	Subset  func(router, database int) bool // which databases of the list a router's module is told of, nil: all
+	Sharers int                             // routers that share each database, as modules count them, 0: all
 }
 
 // Recall gives what is believed of what a process knew that ended so many seconds ago.
@@ -300,6 +303,9 @@
 	t := r.t
 	b := t.set.Brain
 	b.Seed, b.Me, b.Routers = t.set.Seed+uint64(r.me)<<32+uint64(r.life)<<48, r.me, t.set.Routers
+	if t.set.Sharers > 0 {
+		b.Me, b.Routers = r.me%t.set.Sharers, t.set.Sharers
+	}
 	if t.set.Teams != nil {
 		tree, err := fairshare.New(*t.set.Teams, t.now)
 		if err != nil {
--- a/emulator/cluster/town_test.go
+++ b/emulator/cluster/town_test.go
@@ -93,3 +93,25 @@
 		t.Errorf("the first that was kept came at %.3f", first)
 	}
 }
+
+// TestSubset: a router sends to nothing but what it is told of, through silence, death and restarts, and databases that one
+// router does not hold are used by others that do.
+func TestSubset(t *testing.T) {
+	s := small()
+	s.Sharers = 1
+	s.Subset = func(router, database int) bool { return database == 0 || database == 1+router }
+	sent := map[[2]int]bool{}
+	s.Watch = func(m *Moment) bool {
+		if m.On == Sent {
+			sent[[2]int{m.Router, m.Engine}] = true
+		}
+		return true
+	}
+	if _, err := Run(s); err != nil {
+		t.Fatal(err)
+	}
+	want := map[[2]int]bool{{0, 0}: true, {0, 1}: true, {1, 0}: true, {1, 2}: true}
+	if diff := cmp.Diff(want, sent); diff != "" {
+		t.Errorf("routers and the databases that they sent to:\n%s", diff)
+	}
+}
--- a/emulator/cluster/world.go
+++ b/emulator/cluster/world.go
@@ -253,7 +253,22 @@
 		}
 		t.watch(&m)
 	}
-	r.mind.Members(t.now, scope, r.follower.List())
+	r.mind.Members(t.now, scope, r.subset())
+}
+
+// subset is the part of the list in hand that the module is told of.
+func (r *router) subset() []admission.Entry {
+	all := r.follower.List()
+	if r.t.set.Subset == nil {
+		return all
+	}
+	var held []admission.Entry
+	for _, entry := range all {
+		if r.t.set.Subset(r.me, r.t.engineOf(entry.Engine)) {
+			held = append(held, entry)
+		}
+	}
+	return held
 }
 
 func (t *Town) engineOf(id uint32) int {
--- /dev/null
+++ b/internal/scale/service_test.go
@@ -0,0 +1,61 @@
+package scale
+
+import "testing"
+
+// Every router holds exactly as many as it should, the databases of a round are held once each, and equal seeds choose alike.
+func TestRoundSubsetsAreBalanced(t *testing.T) {
+	const routers, databases, size = 105, 256, 64
+	held := roundSubsets(routers, databases, size, 1)
+	again := roundSubsets(routers, databases, size, 1)
+	holders := make([]int, databases)
+	for router := range held {
+		has := 0
+		for database, yes := range held[router] {
+			if yes != again[router][database] {
+				t.Fatalf("router %d: two choices with one seed differ", router)
+			}
+			if yes {
+				has++
+				holders[database]++
+			}
+		}
+		if has != size {
+			t.Errorf("router %d holds %d", router, has)
+		}
+	}
+	for database, n := range holders { // 26 whole rounds, and one router of the next
+		if n < 26 || n > 27 {
+			t.Errorf("database %d is held by %d", database, n)
+		}
+	}
+}
+
+// What is asked for is what the load says, and a calm day under a light load serves nearly all of it.
+func TestPlayServesALightLoad(t *testing.T) {
+	p := play{Seed: 3, Subset: 16, Load: 0.3, Seconds: 1}
+	work := 0.0
+	for _, stream := range p.streams() {
+		work += stream.Peak * stream.Work
+	}
+	if want := 0.3 * poolDatabases * poolCores; work < 0.999*want || work > 1.001*want {
+		t.Errorf("streams ask for %v cores of work, the load is %v", work, want)
+	}
+	s, err := p.run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Share < 0.97 || s.WaitP90 > 0.01 {
+		t.Errorf("a light load is served like this: %+v", s)
+	}
+}
+
+// A size that serves less than the whole pool must show as a loss, and the bound must fail.
+func TestServiceRowsShowALoss(t *testing.T) {
+	form := serviceForm{days: []day{{0.8, calm}, {0.6, zoneLost}}, sizes: []int{chosenSubset}, seeds: []uint64{1, 2}}
+	runs := []served{{Share: 1}, {Share: 1}, {Share: 1}, {Share: 1}, {Share: 0.9}, {Share: 0.9}, {Share: 0.9}, {Share: 0.8}}
+	rows := serviceRows(form, runs, served{})
+	last := rows[len(rows)-1]
+	if last.Holds() || last.Value < 0.055 || last.Value > 0.056 {
+		t.Errorf("a loss of 0.85 against 0.9 is shown as %+v", last)
+	}
+}
