--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	go vet ./...
+	.ci/lint
 
 # The schema of the operators' file, from its Go types.
 schema:
