--- a/internal/scale/datapath_clock.go
+++ b/internal/scale/datapath_clock.go
@@ -3,35 +3,38 @@
 import (
 	"runtime"
 	"slices"
-	"syscall"
 	"time"
-)
 
-// rusageThread asks Getrusage for the calling thread alone (getrusage(2), Linux).
-const rusageThread = 1
+	"golang.org/x/sys/unix"
+)
 
-// usedBy is the processor time, user and system, that a process or thread has used.
-func usedBy(who int) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(who, &usage); err != nil {
+// threadTime is the processor time that the calling thread has used. Unlike getrusage(2) it is not rounded to the kernel's tick.
+func threadTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &now); err != nil {
 		return 0
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return time.Duration(now.Nano())
 }
 
 // onThread runs work on a thread of its own and gives the processor time of that thread. Other load on the machine stretches
-// the time on the wall and not this one, but for caches that are shared.
+// the time on the wall and not this one, but for caches and cores that are shared.
 func onThread(work func()) time.Duration {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	began := usedBy(rusageThread)
+	began := threadTime()
 	work()
-	return usedBy(rusageThread) - began
+	return threadTime() - began
+}
+
+// piece is work that does so many operations.
+type piece struct {
+	operations int
+	work       func()
 }
 
 // medianCosts gives, for each of several pieces of work, the median over rounds of the processor time of one of its operations in
-// microseconds. Each round runs all of them in turn, so that what else the machine does meets all alike. A piece of work is to
-// take some milliseconds: the kernel counts processor time in steps.
+// microseconds. Each round runs all of them in turn, so that what else the machine does meets all alike.
 func medianCosts(rounds int, pieces []piece) []float64 {
 	costs := make([][]float64, len(pieces))
 	for range rounds {
@@ -46,9 +49,3 @@
 	}
 	return medians
 }
-
-// piece is work that does so many operations.
-type piece struct {
-	operations int
-	work       func()
-}
--- /dev/null
+++ b/internal/scale/datapath_list.go
@@ -0,0 +1,65 @@
+package scale
+
+import (
+	"fmt"
+	"strings"
+
+	"dunereach/internal/discovery"
+	"dunereach/internal/dns"
+	"dunereach/internal/fake"
+	"dunereach/internal/measure"
+)
+
+// mostAnswer is the longest answer of the name server in bytes, and mostRead what a router reads of one.
+const mostAnswer, mostRead = 8000, 9000
+
+// listLines are so many databases as an answer of the name server has them, with names of that length.
+func listLines(databases, nameLength int) []string {
+	lines := make([]string, databases)
+	for k := range lines {
+		name := fmt.Sprintf("d%d", k)
+		name += strings.Repeat("x", max(nameLength-len(name), 0))
+		lines[k] = fmt.Sprintf("%s.east 0 80 std 0 1780000000000 127.1.%d.%d:4100", name, k/250, 1+k%250)
+	}
+	return lines
+}
+
+// answerFits tells whether the answer that lists so many databases keeps to the bound and is read back whole.
+func answerFits(databases, nameLength int) bool {
+	const anyID, anySerial = 1, 7
+	answer := fake.Reply(anyID, anySerial, discovery.Record, listLines(databases, nameLength)...)
+	if len(answer) > mostAnswer {
+		return false
+	}
+	list, err := dns.Parse(answer, discovery.Record)
+	if err != nil || len(list.Services) != databases {
+		return false
+	}
+	for _, service := range list.Services {
+		if !service.Addr.IsValid() || len(service.Text) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// mostListed is the most databases that one answer of the name server can list, with names of that length.
+func mostListed(nameLength int) int {
+	most := 0
+	for answerFits(most+1, nameLength) {
+		most++
+	}
+	return most
+}
+
+// listByDNS is how many databases fit one answer, by the length of their names, and how much of the target's list that is.
+func listByDNS() ([]measure.Row, error) {
+	var rows []measure.Row
+	for _, nameLength := range []int{5, 12, 36} { // short, as in the examples; a host's name; a UUID
+		most := mostListed(nameLength)
+		rows = append(rows,
+			measure.Figure(fmt.Sprintf("databases in one answer of %d bytes, names of %d letters", mostAnswer, nameLength), float64(most)),
+			measure.Figure(fmt.Sprintf("bytes a database in an answer, names of %d letters", nameLength), mostAnswer/float64(most)))
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/internal/scale/datapath_test.go
@@ -0,0 +1,58 @@
+package scale
+
+import (
+	"testing"
+
+	"dunereach/admission"
+)
+
+// The list by DNS ends where the answer passes its bound: one more database does not fit, and the target's are far beyond.
+func TestListByDNSEnds(t *testing.T) {
+	for _, length := range []int{5, 12, 36} {
+		most := mostListed(length)
+		if !answerFits(most, length) || answerFits(most+1, length) {
+			t.Errorf("names of %d letters: %d databases are not the most that fit", length, most)
+		}
+		if most < 50 || most > 90 {
+			t.Errorf("names of %d letters: %d databases in one answer", length, most)
+		}
+	}
+}
+
+// What is timed as a decision is one: each request is attempted once, at a database of the pool, and none is refused.
+func TestDeciderAttemptsEachRequest(t *testing.T) {
+	const databases, requests = 72, 500
+	d := newDecider(routerSettings(), databases)
+	for range requests {
+		d.host.database = 0
+		d.decide(1)
+		if at := d.host.database; at < 1 || at > databases {
+			t.Fatalf("request %d went to %d", d.last, at)
+		}
+	}
+}
+
+// A list that is taken reaches the module, also where half of it is new.
+func TestListTakerChangesTheModulesList(t *testing.T) {
+	const databases = 100
+	taker, err := newListTaker(databases)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := taker.follower.List()[0].Engine
+	if err := taker.take(databases, databases/2); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, listed := taker.decider.module.Health(gone); listed {
+		t.Error("a database that is not listed any more counts as ready")
+	}
+	listed := 0
+	for _, entry := range taker.follower.List() {
+		if _, _, _, ok := taker.decider.module.Health(entry.Engine); ok && entry.State == admission.Ready {
+			listed++
+		}
+	}
+	if listed != databases {
+		t.Errorf("the module knows %d of %d databases", listed, databases)
+	}
+}
