--- /dev/null
+++ b/internal/scale/primary.go
@@ -0,0 +1,64 @@
+package scale
+
+import (
+	"fmt"
+
+	"dunereach/internal/measure"
+)
+
+// A change of primary, as this project reads it: the process behind a database's name dies, its connections with it, and the name
+// server tells of another process at another address under the same name. What happens between, detection and election, is the
+// databases' own part. Routers follow the name.
+const (
+	primaryBound     = 7.0 // seconds, from the last attempt at the old process to the first answer of the new one
+	primaryProcesses = 8   // real routers, with a client each
+)
+
+// Primary measures changes of primary over real router processes. What grows with the fleet here is the number of routers that the
+// settings name: a router's share of a cold database goes by it.
+func Primary(short bool) ([]measure.Row, error) {
+	program, err := routerProgram()
+	if err != nil {
+		return nil, err
+	}
+	fleets := []int{primaryProcesses, 100, 400, TargetRouters}
+	if short {
+		fleets = []int{primaryProcesses, TargetRouters}
+	}
+	var rows []measure.Row
+	for _, cold := range []bool{false, true} {
+		for _, routers := range fleets {
+			played, err := playPrimary(program, primaryOptions{routers: routers, cold: cold})
+			if err != nil {
+				return rows, fmt.Errorf("%d routers: %w", routers, err)
+			}
+			rows = append(rows, played.rows(routers, cold)...)
+		}
+	}
+	return rows, nil
+}
+
+// primaryResult is what came of one change, over all router processes. Times are in seconds.
+type primaryResult struct {
+	gap       float64 // from the last attempt at the old process to the first answer of the new one, slowest router
+	told      float64 // from the name server's news to the first attempt at the new process, slowest router
+	late      int     // attempts at the old process after it had died
+	unserved  int     // routers without an answer of the new process by the end
+	rejected  int     // requests rejected or failed while their router had no answer of the new process
+	completed int     // requests completed in all
+}
+
+func (r primaryResult) rows(routers int, cold bool) []measure.Row {
+	state := "warm"
+	if cold {
+		state = "cold"
+	}
+	name := fmt.Sprintf("primary changes to a %s process, %d routers in the settings: ", state, routers)
+	return []measure.Row{
+		measure.AtMost(name+"old's last attempt to new's first answer, slowest of 8, s", r.gap, primaryBound),
+		measure.Figure(name+"news to first attempt, slowest of 8, s", r.told),
+		measure.AtMost(name+"attempts at the dead process", float64(r.late), 0),
+		measure.AtMost(name+"routers of 8 never served", float64(r.unserved), 0),
+		measure.Figure(name+"requests rejected or failed meanwhile", float64(r.rejected)),
+	}
+}
--- /dev/null
+++ b/internal/scale/primary_test.go
@@ -0,0 +1,50 @@
+package scale
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// changePrimary plays one change over real router processes, which `make build` or .ci/run have built.
+func changePrimary(t *testing.T, options primaryOptions) primaryResult {
+	t.Helper()
+	result, err := playPrimary(builtRouter(t), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", result)
+	if result.late > 0 {
+		t.Errorf("%d attempts at the dead process", result.late)
+	}
+	if result.unserved > 0 || result.gap > primaryBound {
+		t.Errorf("%.2f s until the slowest router was served, %d never; wanted within %v s", result.gap, result.unserved, primaryBound)
+	}
+	return result
+}
+
+// TestPrimaryWarm: a promoted replica is used within the bound whatever the size of the fleet.
+func TestPrimaryWarm(t *testing.T) {
+	changePrimary(t, primaryOptions{routers: TargetRouters})
+}
+
+// TestPrimaryCold: so is a process that has just started, in a fleet of a hundred routers.
+func TestPrimaryCold(t *testing.T) {
+	changePrimary(t, primaryOptions{routers: 100, cold: true})
+}
+
+// TestPrimaryColdAtFullSize is in KNOWN-RED.txt: each router takes a turn among all that the settings name, also among those
+// that never send anything there, and waits until the database is warm.
+func TestPrimaryColdAtFullSize(t *testing.T) {
+	changePrimary(t, primaryOptions{routers: TargetRouters, cold: true})
+}
+
+// builtRouter builds the router into a folder of the test's own.
+func builtRouter(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	if output, err := exec.Command("go", "build", "-buildvcs=false", "-o", folder, "../../cmd/dunereach").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	return filepath.Join(folder, "dunereach")
+}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -36,6 +36,7 @@
 // Parts are all groups, in the order in which they are printed.
 var Parts = []Part{
 	{"datapath", "Decisions, connections and configuration of one router, by size", DataPath},
+	{"primary", "Changes of primary: how soon routers have the new process's answers", Primary},
 	{"control", "Coordinators and hollow routers over real sockets, by size and under faults", Control},
 	{"subset", "Subsets of the databases: spread, churn, cost, and what they do to service", Subset},
 }
