No attempt begins for a client that has gone while the owner was behind its connections

Cause: a client's close or cancel waits in the inbox, or unread behind its call, while the owner's goroutine is busy. What the owner comes to first (a call, a reset attempt's end, a connection that is up, a timer) began an attempt for it all the same: router.go Deliver and Tick, engines.go Send and Up wrote at once. Ruled out: held for want of a server (it needs a new connection, which comes later), the module (Left and HalfClosed end a request wherever it is), withdrawing (one step with the writer).

Change: entries carry the time at which they were ready; the router notes input that waited 0.07 s, or 0.07 s in which it was not called at all, and then holds attempts (as for a connection that is not up) until 0.02 s after the last sign, 0.06 s at most.

TestBehindForLong: the hold is bounded. Planted bug in internal/mutation.

--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -90,6 +90,7 @@
 	spare   [][]byte
 	scratch []byte
 	now     float64
+	held    bool // no attempt is written
 }
 
 type engine struct {
@@ -246,7 +247,7 @@
 		return
 	}
 	j.conn, c.out[j.Ref], c.usedAt = c, j, p.now
-	if c.up {
+	if c.up && !p.held {
 		c.write(j)
 	} else {
 		c.waiting = append(c.waiting, j)
@@ -412,11 +413,7 @@
 
 func (c *conn) Up() {
 	c.up = true
-	waiting := c.waiting
-	c.waiting = nil
-	for _, j := range waiting {
-		c.write(j)
-	}
+	c.writeWaiting()
 	c.rest()
 }
 
--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -90,6 +90,7 @@
 	{"a plan is used after its life", "fleet/failover/guide.go", "if now >= g.until { // nothing heard", "if false { // nothing heard", "./fleet/failover"},
 	{"half of the observers give a zone up", "fleet/failover/evidence.go", "agree    = 0.6", "agree    = 0.4", "./fleet/failover"},
 	{"dead observers count as witnesses", "fleet/failover/evidence.go", "if alone[r.Zone] && r.Zone != z {", "if false {", "./fleet/failover"},
+	{"attempts leave while the owner is behind its connections", "internal/router/behind.go", "\t\tr.pool.Hold()\n", "", "./internal/router"},
 	{"who comes early finds room", "waittime/waits.go", "if k < 0 || b.slots[k].due > now+early {", "if k < 0 {", "./waittime"},
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,21 +43,22 @@
 	now    float64
 	timers timers
 
-	cmds   map[uint32]*command
-	free   []*command
-	lastID uint32
-	owed   int // commands whose client waits
-	held   int // bytes of their statements
-	budget int
-	halves int                       // bytes of messages that are not whole
-	refs   map[backends.Ref]struct{} // ids that a client waits under
-	ending bool                      // asked to end: no front should count on this router
-	listed bool
-	profs  map[string]int
-	tens   map[string]int
-	teams  *fairshare.Tree // nil: there are none
-	tells  bool            // clients are told of waits
-	serial uint32          // of the list of engines
+	cmds    map[uint32]*command
+	free    []*command
+	lastID  uint32
+	owed    int // commands whose client waits
+	held    int // bytes of their statements
+	budget  int
+	halves  int                       // bytes of messages that are not whole
+	refs    map[backends.Ref]struct{} // ids that a client waits under
+	ending  bool                      // asked to end: no front should count on this router
+	listed  bool
+	profs   map[string]int
+	tens    map[string]int
+	teams   *fairshare.Tree // nil: there are none
+	tells   bool            // clients are told of waits
+	serial  uint32          // of the list of engines
+	backlog backlog
 }
 
 const noPriority = 1 // what a send has that was given none
@@ -123,6 +124,7 @@
 
 // at sets the time for what comes next.
 func (r *Router) at(now float64) {
+	r.delayed(now, now-r.now)
 	r.now = max(r.now, now)
 	r.pool.At(r.now)
 }
@@ -130,6 +132,7 @@
 // Deliver hands over what a connection brought.
 func (r *Router) Deliver(now float64, e transport.Entry) {
 	r.at(now)
+	r.entryDelayed(e)
 	e.Deliver()
 	r.pool.Settle()
 }
@@ -156,9 +159,9 @@
 		r.pool.Settle()
 	}
 	if len(r.timers) == 0 {
-		return r.now + 1
+		return r.settle(r.now + 1)
 	}
-	return r.timers[0].at
+	return r.settle(r.timers[0].at)
 }
 
 // Owed is how many commands have no final answer yet.
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -315,6 +315,7 @@
 		Stall: s.cfg.Settings.ConnectTimeout}, s.dial)
 	s.heardAt = s.clock.now()
 	s.Router.Start(s.heardAt, pool)
+	s.WatchBacklog()
 	s.members(admission.Cached)
 	if s.state != nil {
 		defer s.state.End(s.Router)
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -49,8 +49,12 @@
 	data  []byte
 	how   Ending
 	taken chan<- struct{}
+	at    time.Time // when it was ready for the owner
 }
 
+// Age is how long the entry has waited.
+func (e Entry) Age() time.Duration { return time.Since(e.at) }
+
 const (
 	isUp = iota
 	isData
@@ -88,6 +92,7 @@
 }
 
 func (n *Net) post(e Entry) {
+	e.at = time.Now()
 	select {
 	case n.inbox <- e:
 	case <-n.ctx.Done():
