Descriptors are held back for discovery; the longest rest makes room first

Cause: clients (half, and a sixteenth more) and servers (a third) left a tenth of the settings' descriptors for the name server's sockets, the configuration and the runtime, which is too few under a hundred of them; the system's own limit was not asked for, so under a lower one clients took all: a new configuration could not be opened and was not taken (serve.go descriptors, arrive). Where a crowd rests, the connection closed for a new client was the one that had come in just before, as it had yet to ask (Spare).

Change: a reserve of 12, the lower of both limits, a connection that never asked goes first only once it had 0.3 s to, equal rests go by age.

TestCrowdWhileListIsDown (processes, 64 descriptors): without the reserve and the system's limit no new configuration is taken in its second part. TestOldestRestGoes: without the rank connection 19 of 20 went in place of the second. TestDivide: property.

--- /dev/null
+++ b/cmd/dunereach/crowd_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunereach/internal/fake"
+)
+
+// limited is the router's command under a limit on descriptors that it can't raise.
+func limited(cmd *exec.Cmd, descriptors int) *exec.Cmd {
+	shell := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", descriptors, cmd.Path))
+	shell.Env = cmd.Env
+	return shell
+}
+
+// TestCrowdWhileListIsDown: idle clients fill the descriptors while the name server says nothing, under the settings' limit or a lower
+// one of the system. Requests that need a connection to a server each are served, so are new clients, a new configuration is read, and
+// the list is heard within a second of the name server's return.
+func TestCrowdWhileListIsDown(t *testing.T) {
+	const descriptors = 64
+	for _, c := range []struct {
+		name             string
+		settings, system int
+	}{{"the settings' limit", descriptors, descriptors}, {"the system's limit", 1024, descriptors}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := plan(t, 1, c.settings)
+			w.descriptors = c.system
+			w.names.Down(true)
+			w.start()
+			w.logged("serving")
+			var crowd []*fake.Client
+			for k := range 2 * descriptors {
+				idle := fake.NewClient(t, w.addr)
+				if crowd = append(crowd, idle); k%2 == 0 {
+					idle.AskHealth()
+				}
+			}
+			w.logged("the name server does not answer")
+			const running = 12 // a connection to the server each
+			client := fake.NewClient(t, w.addr)
+			var open []fake.Said
+			for range running {
+				w.call(client, "lookup", 30000, "SELECT 1")
+				open = append(open, w.hear("fetch"))
+			}
+			for range 2 * descriptors { // anew, up to the brim
+				crowd = append(crowd, fake.NewClient(t, w.addr))
+			}
+			w.cmd.Process.Signal(syscall.SIGHUP)
+			w.logged(`"msg":"new configuration"`)
+			w.names.Set(2, fmt.Sprintf("s-0.east 0 10 std 0 0 %s", w.engines[0].Addr))
+			w.names.Down(false)
+			from := time.Now()
+			w.logged(`"list of engines","rev":2`)
+			if took := time.Since(from); took > time.Second {
+				t.Errorf("the list was heard after %v", took)
+			}
+			w.serve(fake.NewClient(t, w.addr), "lookup")
+			for _, s := range open {
+				s.Answer("served", "count=1", "x\t\t\n")
+				if got := client.Next(); !strings.Contains(got, " 0={") {
+					t.Errorf("a running request got %q", got)
+				}
+			}
+		})
+	}
+}
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -59,6 +59,7 @@
 // Session is one client's connection.
 type Session struct {
 	Line    Line
+	Serial  uint64 // of its arrival: an older connection has a lower one
 	desk    Desk
 	frames  thrift.Frames
 	scratch *[]byte
@@ -164,10 +165,10 @@
 	}
 }
 
-// Spare tells whether the connection can be closed to make room for another, and how well: those that never asked
-// go first, then those that have been quiet for longest.
+// Spare tells whether the connection can be closed to make room for another, and how well: those that never asked, though
+// they had time to, go first, then those that have been quiet for longest. A new connection's call may be on its way.
 func (s *Session) Spare() (rank int, ok bool) {
-	if rank = s.quiet; !s.asked {
+	if rank = s.quiet; !s.asked && s.quiet >= askBy {
 		rank += 1 << 20
 	}
 	return rank, len(s.open) == 0 && !s.last && !s.closed
--- /dev/null
+++ b/internal/router/descriptors_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestDivide: clients, servers and the reserve never pass the descriptors that there are, and usual clients have their third.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3*reserve, 1<<20).Draw(t, "descriptors")
+		s := divide(n)
+		if taken := s.clients + s.turnedOff + s.servers + reserve; taken > n {
+			t.Errorf("%d of %d are taken: %+v", taken, n, s)
+		}
+		if s.clients < n/3 || s.servers < 1 || s.lingering < 1 {
+			t.Errorf("%d: %+v", n, s)
+		}
+	})
+}
+
+// TestOldestRestGoes: where resting clients fill the descriptors, the one that has rested longest makes room; a connection that has
+// just come in stays, as its call is on its way.
+func TestOldestRestGoes(t *testing.T) {
+	h := newHall(t, 48, 0) // 18 for clients
+	go h.accept(h.listener)
+	for range 18 {
+		c := h.client()
+		h.arrive(<-h.arrivals, false)
+		c.AskHealth()
+		h.deliver(1)
+		for s := range h.sessions { // time goes on
+			s.Tick()
+		}
+	}
+	fresh := h.client()
+	h.arrive(<-h.arrivals, false)
+	second := h.client()
+	h.arrive(<-h.arrivals, false)
+	closed := map[uint64]bool{}
+	for range 2 {
+		h.deliver(1) // the end of one that made room
+	}
+	for serial := uint64(1); serial <= 20; serial++ {
+		closed[serial] = true
+	}
+	for s := range h.sessions {
+		delete(closed, s.Serial)
+	}
+	if len(closed) != 2 || !closed[1] || !closed[2] {
+		t.Errorf("connections %v made room, want the two oldest", closed)
+	}
+	h.call(fresh, "a")
+	h.call(second, "b")
+	h.deliver(2)
+	if h.Owed() != 2 {
+		t.Errorf("%d requests of new clients are in hand, want 2", h.Owed())
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -65,6 +65,8 @@
 	group    *errgroup.Group
 	ctx      context.Context
 	sessions map[*frontend.Session]struct{}
+	arrived  uint64 // connections of clients so far
+	parts    split  // of the descriptors
 	scratch  []byte // answers are put together here
 	ticks    int
 	tidied   int     // seconds
@@ -105,7 +107,7 @@
 	}
 	// A quarter of the memory for answers on their way out, and one for statements in hand; half of that for messages
 	// that are not whole yet.
-	s.net = transport.NewNet(ctx, group, s.inbox, memory/4, int64(max(s.descriptors()/16, 1)))
+	s.net = transport.NewNet(ctx, group, s.inbox, memory/4, int64(s.split().lingering))
 	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
 	if len(cfg.Budgets.Nodes) > 0 {
 		teams, err := fairshare.New(cfg.Budgets, s.clock.now())
@@ -297,19 +299,9 @@
 	s.ask.Write(s.list.Question(nil))
 }
 
-// descriptors that the router may hold. A third is the engines'. Usual clients keep to a third and clients get up to a
-// half, past which those go that hold no command; the rest is room for those that are on their way out.
-func (s *service) descriptors() int {
-	if n := s.cfg.Limits.Sockets; n > 0 {
-		return n
-	}
-	return 16384
-}
-
 // own is the owner's goroutine.
 func (s *service) own(stop <-chan struct{}, renewed <-chan config.Config, listener *net.TCPListener) error {
-	descriptors := s.descriptors()
-	pool := backends.New(s.Router, backends.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(descriptors/3, 1),
+	pool := backends.New(s.Router, backends.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: s.split().servers,
 		Idle: s.cfg.Settings.ConnIdle,
 		// An engine sends an answer in one go: a pause longer than a connection takes to come up is its end.
 		Stall: s.cfg.Settings.ConnectTimeout}, s.dial)
@@ -424,12 +416,12 @@
 }
 
 func (s *service) arrive(nc net.Conn, closing bool) {
-	most := max(s.descriptors()/2, 1)
-	full := len(s.sessions) >= most && !s.letGo()
+	most := s.split()
+	full := len(s.sessions) >= most.clients && !s.letGo()
 	if full {
 		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
 	}
-	if len(s.sessions) >= most+most/8 { // none is left even to turn it away by
+	if len(s.sessions) >= most.clients+most.turnedOff { // none is left even to turn it away by
 		nc.Close()
 		return
 	}
@@ -438,6 +430,8 @@
 	c := frontend.NewSession(s, &s.scratch)
 	line := s.net.New(c, limit)
 	c.Line = line
+	s.arrived++
+	c.Serial = s.arrived
 	s.sessions[c] = struct{}{}
 	line.Start(nc)
 	if full || closing {
@@ -450,7 +444,7 @@
 	var spare *frontend.Session
 	best := -1
 	for c := range s.sessions {
-		if rank, ok := c.Spare(); ok && rank > best {
+		if rank, ok := c.Spare(); ok && (rank > best || rank == best && c.Serial < spare.Serial) {
 			spare, best = c, rank
 		}
 	}
