A router that sends nothing while clients wait says so; resting connections make room

Seen: nothing says that a router is up, ready and serves nobody. Looked for a cause: the connections to servers. Where resting ones to a few servers take all (a small limit, servers added), an attempt to a server with none ended as Unreachable, so that the module took the server for one that fails and left it to trials (engines.go conn). Ruled out: held attempts (bounded), the list and the module on different states (told in one step).

Change: the longest rest is closed for it. Each second the router looks whether it is ready, has servers and clients whose requests have no attempt out, and has begun none for 3 s: one line, and one when it sends again.

--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -273,9 +273,12 @@
 			best = c
 		}
 	}
-	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns*3/4/len(p.engines)) || len(p.conns) >= p.limits.Conns {
+	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns*3/4/len(p.engines)) || best != nil && len(p.conns) >= p.limits.Conns {
 		return best
 	}
+	if len(p.conns) >= p.limits.Conns && !p.makeRoom() {
+		return nil
+	}
 	c := &conn{pool: p, engine: j.Engine, out: map[Ref]*Job{}, spent: map[Ref]struct{}{}}
 	c.line = p.dial(e.addr, c)
 	p.conns = append(p.conns, c)
--- a/internal/backends/hold.go
+++ b/internal/backends/hold.go
@@ -24,3 +24,6 @@
 		c.write(j)
 	}
 }
+
+// Connections is how many connections there are, those that are not up yet among them.
+func (p *Pool) Connections() int { return len(p.conns) }
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -146,6 +146,16 @@
 // List is all engines that are ready or drain.
 func (f *Follower) List() []admission.Entry { return f.list }
 
+// Ready is how many engines are ready.
+func (f *Follower) Ready() (n int) {
+	for _, e := range f.list {
+		if e.State == admission.Ready {
+			n++
+		}
+	}
+	return n
+}
+
 // Rev is the number of the last event taken in.
 func (f *Follower) Rev() uint32 { return f.rev }
 
--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -91,6 +91,8 @@
 	{"half of the observers give a zone up", "fleet/failover/evidence.go", "agree    = 0.6", "agree    = 0.4", "./fleet/failover"},
 	{"dead observers count as witnesses", "fleet/failover/evidence.go", "if alone[r.Zone] && r.Zone != z {", "if false {", "./fleet/failover"},
 	{"attempts leave while the owner is behind its connections", "internal/router/behind.go", "\t\tr.pool.Hold()\n", "", "./internal/router"},
+	{"no resting connection makes room", "internal/backends/engines.go", "&& !p.makeRoom()", "", "./internal/backends"},
+	{"a stall is said each second", "internal/router/stalled.go", "\ts.said = true\n", "", "./internal/router"},
 	{"who comes early finds room", "waittime/waits.go", "if k < 0 || b.slots[k].due > now+early {", "if k < 0 {", "./waittime"},
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,22 +43,24 @@
 	now    float64
 	timers timers
 
-	cmds    map[uint32]*command
-	free    []*command
-	lastID  uint32
-	owed    int // commands whose client waits
-	held    int // bytes of their statements
-	budget  int
-	halves  int                       // bytes of messages that are not whole
-	refs    map[backends.Ref]struct{} // ids that a client waits under
-	ending  bool                      // asked to end: no front should count on this router
-	listed  bool
-	profs   map[string]int
-	tens    map[string]int
-	teams   *fairshare.Tree // nil: there are none
-	tells   bool            // clients are told of waits
-	serial  uint32          // of the list of engines
-	backlog backlog
+	cmds     map[uint32]*command
+	free     []*command
+	lastID   uint32
+	owed     int // commands whose client waits
+	held     int // bytes of their statements
+	budget   int
+	halves   int                       // bytes of messages that are not whole
+	refs     map[backends.Ref]struct{} // ids that a client waits under
+	ending   bool                      // asked to end: no front should count on this router
+	listed   bool
+	profs    map[string]int
+	tens     map[string]int
+	teams    *fairshare.Tree // nil: there are none
+	tells    bool            // clients are told of waits
+	serial   uint32          // of the list of engines
+	backlog  backlog
+	stall    stall
+	attempts uint64 // begun so far
 }
 
 const noPriority = 1 // what a send has that was given none
@@ -326,6 +328,7 @@
 		c.told.Waited = r.now - c.taken
 	}
 	j.Engine, j.At, j.Until, j.LeaveBy = engine, r.now, until, by
+	r.attempts++
 	r.pool.Send(j)
 	if j.Out() {
 		r.timers.push(timer{at: until, what: limitOver, token: uint64(id) | uint64(j.Number)<<32})
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -458,7 +458,9 @@
 
 // tidy closes connections to engines that were idle for long, and says when the name server is missing.
 func (s *service) tidy() {
+	s.at(s.clock.now())
 	s.pool.Tidy()
+	s.watchStall(s.list.Ready())
 	if s.tidied++; s.tidied%auditEvery == 0 {
 		s.Audit()
 	}
--- /dev/null
+++ b/internal/router/stalled_test.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"testing"
+
+	"dunereach/admission"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// TestStallIsSaid: a router that is ready and has servers and a waiting client, and sends nothing, says so once; none does for whose
+// requests there is no server, or whose attempt is out.
+func TestStallIsSaid(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		servers int
+		held    bool
+		lines   int
+	}{{"nothing is sent", 1, true, 1}, {"no server is ready", 0, true, 0}, {"an attempt is out", 1, false, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			core, lines := observer.New(zap.InfoLevel)
+			s := newStage(9)
+			s.log = zap.New(core)
+			if c.held { // the module knows of no server that is ready, whatever the list says
+				s.Members(0, admission.Full, nil, func() {})
+			}
+			s.take(1, 60, "SELECT 1")
+			for now := range 20 {
+				s.at(float64(now))
+				s.watchStall(c.servers)
+			}
+			if n := lines.FilterMessage("clients wait and nothing is sent").Len(); n != c.lines {
+				t.Errorf("%d lines, want %d", n, c.lines)
+			}
+			if !c.held || c.servers == 0 {
+				return
+			}
+			s.Members(20, admission.Full, s.list, func() {})
+			s.at(21)
+			s.watchStall(c.servers)
+			s.watchStall(c.servers)
+			if n := lines.FilterMessage("attempts are begun again").Len(); n != 1 {
+				t.Errorf("that it sends again is said %d times", n)
+			}
+		})
+	}
+}
