--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -90,6 +90,7 @@
 	spare   [][]byte
 	scratch []byte
 	now     float64
+	held    bool // no attempt is written
 }
 
 type engine struct {
@@ -246,7 +247,7 @@
 		return
 	}
 	j.conn, c.out[j.Ref], c.usedAt = c, j, p.now
-	if c.up {
+	if c.up && !p.held {
 		c.write(j)
 	} else {
 		c.waiting = append(c.waiting, j)
@@ -272,9 +273,12 @@
 			best = c
 		}
 	}
-	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns*3/4/len(p.engines)) || len(p.conns) >= p.limits.Conns {
+	if best != nil && (len(best.out) == 0 || has >= p.limits.Conns*3/4/len(p.engines)) || best != nil && len(p.conns) >= p.limits.Conns {
 		return best
 	}
+	if len(p.conns) >= p.limits.Conns && !p.makeRoom() {
+		return nil
+	}
 	c := &conn{pool: p, engine: j.Engine, out: map[Ref]*Job{}, spent: map[Ref]struct{}{}}
 	c.line = p.dial(e.addr, c)
 	p.conns = append(p.conns, c)
@@ -412,11 +416,7 @@
 
 func (c *conn) Up() {
 	c.up = true
-	waiting := c.waiting
-	c.waiting = nil
-	for _, j := range waiting {
-		c.write(j)
-	}
+	c.writeWaiting()
 	c.rest()
 }
 
