The registry has room for 1,600 routers and 3,900 databases, and all of them again

1,024 sessions and 1,024 tasks ended a fleet of 1,600 routers: opening refused with 'the record is full'. Bounds are now derived from the fleet that is designed for (MostRouters, MostDatabases): twice the routers, as old sessions last out their lease when all restart at once, and two tasks a database. An owner's account of a whole has room for both processes of each router (MostMembers was 1,024: a cold database was not dealt out at all in a larger fleet).

--- a/fleet/allocation/parts.go
+++ b/fleet/allocation/parts.go
@@ -13,6 +13,8 @@
 	"math"
 	"slices"
 
+	"dunereach/fleet/registry"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -53,8 +55,11 @@
 // Longest is how long a part that was laid down stays so by any clock.
 func (t Terms) Longest() float64 { return t.longest(t.Pledge) }
 
-// MostMembers that one owner deals to.
-const MostMembers = 1024
+// Bounds of one owner's account. A member that restarts is there twice until what its old process pledged is over.
+const (
+	MostMembers      = registry.MostRouters
+	mostIncarnations = registry.MostSessions
+)
 
 // Pledge is a member's word to the owner of a whole.
 type Pledge struct {
@@ -154,7 +159,7 @@
 	key := fmt.Sprintf("%s/%d", name, incarnation)
 	m := d.by[key]
 	if m == nil {
-		if len(d.by) >= MostMembers {
+		if len(d.by) >= mostIncarnations {
 			return ErrMany
 		}
 		m = &member{name: name, incarnation: incarnation, until: math.Inf(-1)}
--- a/fleet/coordinator/group.go
+++ b/fleet/coordinator/group.go
@@ -92,7 +92,7 @@
 		done(ErrBusy)
 		return
 	}
-	e.Version = registry.Version
+	e.Version = k.rec.Reads()
 	text, err := e.Marshal()
 	if err != nil {
 		done(err)
--- a/fleet/registry/entry.go
+++ b/fleet/registry/entry.go
@@ -9,8 +9,9 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Version of entries that this program writes and the newest that it reads.
-const Version uint16 = 1
+// Version of entries that this program writes and the newest that it reads. Version 2 has the bounds of the larger fleet; its
+// fields are those of version 1.
+const Version uint16 = 2
 
 // Kind of an entry. Numbers are for good: agreed entries lie on disks.
 type Kind uint8
@@ -130,7 +131,7 @@
 	decode = must(cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxNestedLevels: 8,
-		MaxMapPairs: 4 * MostSessions, MaxArrayElements: 4 * MostSessions,
+		MaxMapPairs: 2 * MostWorks, MaxArrayElements: 2 * MostWorks,
 	}.DecMode())
 )
 
--- a/fleet/registry/record.go
+++ b/fleet/registry/record.go
@@ -11,14 +11,52 @@
 	"slices"
 )
 
-// Bounds on what a record holds. Three times the largest fleet that was measured (300 routers, 36 engines, each of which may
-// have a work for its warmth and one for its trials, and some for tenants).
+// The fleet that a record is bounded for: 1,600 routers before 3,900 databases, and about a quarter of each beside.
 const (
-	MostSessions = 1024
-	MostWorks    = 1024
-	MostKeepers  = 9    // raft with more is slow to agree and no safer
-	MostName     = 120  // bytes
-	MostNote     = 2048 // bytes that an owner puts down
+	MostRouters   = 2048
+	MostDatabases = 4096
+)
+
+// Bounds on what a record holds.
+const (
+	// MostSessions has room for all routers twice: where all of them restart at once, the session of each old process lasts
+	// until its lease is over.
+	MostSessions = 2 * MostRouters
+	// MostWorks has room for two tasks of each database: its warm-up and its probes. Tasks of tenants and the plan take what
+	// the databases leave, as all of them are cold and suspected at no time.
+	MostWorks   = 2 * MostDatabases
+	MostKeepers = 9    // raft with more is slow to agree and no safer
+	MostName    = 120  // bytes
+	MostNote    = 2048 // bytes that an owner puts down
+)
+
+// Bounds that entries of version 1 are held to, which older coordinators apply: as long as one of those takes part, all of
+// them refuse alike.
+const (
+	mostSessionsVersion1 = 1024
+	mostWorksVersion1    = 1024
+)
+
+// mostSessions and mostWorks are the bounds that an entry of that version is held to.
+func mostSessions(version uint16) int {
+	if version < 2 {
+		return mostSessionsVersion1
+	}
+	return MostSessions
+}
+
+func mostWorks(version uint16) int {
+	if version < 2 {
+		return mostWorksVersion1
+	}
+	return MostWorks
+}
+
+// MostSnapshot is what the snapshot of a full record takes at most, in bytes: names and notes at their bounds, and some bytes
+// a field beside them.
+const (
+	mostFields   = 64 // bytes of the numbers and keys of one session or task
+	MostSnapshot = MostSessions*(3*MostName+mostFields) + MostWorks*(3*MostName+MostNote+mostFields) + 1<<16
 )
 
 // Session is one process that takes part. A name has one that counts: an older one of the same name is superseded, and its
@@ -237,7 +275,7 @@
 	case Floor:
 		r.s.Fence = max(r.s.Fence, e.Fence)
 	case Say:
-		w, err := r.free(e.Work)
+		w, err := r.free(e.Version, e.Work)
 		if err != nil {
 			return 0, err
 		}
@@ -252,7 +290,7 @@
 	if old != nil && old.Incarnation == e.Incarnation {
 		return nil // asked twice: the session that there is
 	}
-	if len(r.s.Sessions) >= MostSessions {
+	if len(r.s.Sessions) >= mostSessions(e.Version) {
 		return ErrFull
 	}
 	if old != nil {
@@ -288,7 +326,7 @@
 	case s.Superseded:
 		return 0, ErrSuperseded
 	}
-	w, err := r.free(e.Work)
+	w, err := r.free(e.Version, e.Work)
 	if err != nil {
 		return 0, err
 	}
@@ -297,12 +335,12 @@
 }
 
 // free is a work that nobody owns, under a fence of its own: the next of the one number for all works.
-func (r *Record) free(name string) (*Work, error) {
+func (r *Record) free(version uint16, name string) (*Work, error) {
 	w := r.s.Works[name]
 	switch {
 	case w != nil && w.Owner != 0:
 		return nil, ErrOwned
-	case w == nil && len(r.s.Works) >= MostWorks:
+	case w == nil && len(r.s.Works) >= mostWorks(version):
 		return nil, ErrFull
 	case w == nil:
 		w = &Work{Name: name}
--- a/internal/coordserver/client.go
+++ b/internal/coordserver/client.go
@@ -25,11 +25,56 @@
 	many int
 
 	calls, bytes atomic.Int64
+	kinds        sync.Map // path to *pathTraffic; the paths are those of the server's routes
+}
+
+// Dial opens one connection of a client.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// pathTraffic counts the requests of one path, and the bytes of their bodies both ways.
+type pathTraffic struct{ requests, bytes atomic.Int64 }
+
+// PathTraffic is what one kind of request came to: whole requests, and bytes of bodies both ways without headers.
+type PathTraffic struct {
+	Requests int64 `json:"requests"`
+	Bytes    int64 `json:"bytes"`
 }
 
 // Traffic so far: calls, and bytes both ways.
 func (c *Client) Traffic() (calls, bytes int64) { return c.calls.Load(), c.bytes.Load() }
 
+// TrafficByPath is the traffic so far of each path that was asked for.
+func (c *Client) TrafficByPath() map[string]PathTraffic {
+	all := map[string]PathTraffic{}
+	c.kinds.Range(func(path, value any) bool {
+		t := value.(*pathTraffic)
+		all[path.(string)] = PathTraffic{Requests: t.requests.Load(), Bytes: t.bytes.Load()}
+		return true
+	})
+	return all
+}
+
+// kind is the counter of a path.
+func (c *Client) kind(path string) *pathTraffic {
+	if t, ok := c.kinds.Load(path); ok {
+		return t.(*pathTraffic)
+	}
+	t, _ := c.kinds.LoadOrStore(path, &pathTraffic{})
+	return t.(*pathTraffic)
+}
+
+// countedReader counts what is read of a body.
+type countedReader struct {
+	io.Reader
+	bytes *atomic.Int64
+}
+
+func (r countedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.bytes.Add(int64(n))
+	return n, err
+}
+
 // counted is a connection whose bytes are counted.
 type counted struct {
 	net.Conn
@@ -60,11 +105,15 @@
 
 // NewClient of keepers at these addresses.
 func NewClient(addrs []string, from string) *Client {
+	return NewClientOver(addrs, dialer(from).DialContext)
+}
+
+// NewClientOver is NewClient with connections of the caller's making.
+func NewClientOver(addrs []string, dial Dial) *Client {
 	c := &Client{many: len(addrs), find: agent.NewFinder(addrs, int(time.Now().UnixNano()&0xffff))}
-	dial := dialer(from)
 	c.http = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dial.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -124,12 +173,15 @@
 		return "", err
 	}
 	c.calls.Add(1)
+	kind := c.kind(path)
+	kind.requests.Add(1)
+	kind.bytes.Add(int64(len(body)))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return "", fmt.Errorf("%w: %v", agent.ErrNoAnswer, err)
 	}
 	defer resp.Body.Close()
-	text := io.LimitReader(resp.Body, mostBody)
+	text := countedReader{io.LimitReader(resp.Body, mostBody), &kind.bytes}
 	if resp.StatusCode == http.StatusOK {
 		if err := json.NewDecoder(text).Decode(out); err != nil {
 			return "", fmt.Errorf("%w: %v", agent.ErrNoAnswer, err)
--- a/internal/coordserver/serve.go
+++ b/internal/coordserver/serve.go
@@ -91,7 +91,9 @@
 }
 
 const (
-	mostBody = 8 << 20 // bytes of one request: raft's snapshots are the largest
+	mostBody = 8 << 20 // bytes of one request of a router or an operator
+	// mostRaft is the bound on one request of another keeper: a snapshot, and entries that wait with it.
+	mostRaft = registry.MostSnapshot + 8<<20
 	tick     = 20 * time.Millisecond
 )
 
--- a/internal/coordserver/transport.go
+++ b/internal/coordserver/transport.go
@@ -179,7 +179,7 @@
 		http.Error(w, "another record", http.StatusForbidden)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostRaft))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
