Hollow routers before real coordinators, and the scale tests of control

internal/hollow: the control part of routers (session, lease, agent, driver, list of 3,900 databases) with the data path left out, 200 in a process, before coordinators with real disks; links that can be cut, an auditor of owners' acts, bounds on memory and processes that the run checks itself. internal/scale: slopes with standard errors, cold databases, returns, faults.

--- a/cmd/duneshow/main.go
+++ b/cmd/duneshow/main.go
@@ -104,7 +104,7 @@
 			}
 			return measure.Soak(os.Stdout, minutes)
 		}})
-	root.AddCommand(scaleCommand())
+	root.AddCommand(scaleCommand(), hollowCommand(), controlCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "duneshow:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/hollow/fleet.go
@@ -0,0 +1,473 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dunereach/fleet/coordinator"
+	"dunereach/internal/boottime"
+	"dunereach/internal/coordserver"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Bounds of one fleet on one machine, checked while it runs.
+const (
+	MostMemoryMB  = 12 << 10
+	MostProcesses = 300
+)
+
+// Options of a fleet.
+type Options struct {
+	Keep         string // program of a coordinator
+	Worker       string // program that serves a Worker, with WorkerArgs
+	WorkerArgs   []string
+	Folder       string // of its own: coordinators' folders come in there
+	Coordinators int
+	Routers      int    // that the settings name, and at most run
+	PerWorker    int    // routers in one process
+	Zones        []Zone // coordinators and routers are dealt to them in turn
+	Databases    int
+	Lease        float64 // seconds
+}
+
+// Fleet is some coordinators with the hollow routers before them. Its methods are one goroutine's.
+type Fleet struct {
+	Audit *Auditor
+
+	options      Options
+	starter      *starter
+	coordinators []*coordinatorProcess
+	workers      []*workerProcess
+	client       *coordserver.Client
+	live         map[int]bool // routers that run
+	sampler      *sampler
+}
+
+// coordinatorProcess is one coordinator, which may be down.
+type coordinatorProcess struct {
+	name      string
+	zone      Zone
+	published string // address that the registry names; a relay listens there
+	listening string
+	host      string // address that its own requests come from
+	folder    string
+	cmd       *exec.Cmd    // nil: it is down
+	pid       atomic.Int64 // of cmd, 0: it is down
+	log       tail
+	relay     *relay
+}
+
+const coordinatorPort = 7000
+
+// New fleet: its coordinators lead, and no router runs yet.
+func New(o Options) (*Fleet, error) {
+	f := &Fleet{Audit: NewAuditor(), options: o, starter: newStarter(), live: map[int]bool{}}
+	if err := f.build(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) build() error {
+	if err := f.initCoordinators(); err != nil {
+		return err
+	}
+	var published []string
+	route := map[string]string{}
+	for _, c := range f.coordinators {
+		published = append(published, c.published)
+		route[c.published] = c.listening
+		if err := f.startCoordinator(c); err != nil {
+			return err
+		}
+	}
+	network := NewNetwork(route) // the fleet's own requests don't pass the relays either
+	f.client = coordserver.NewClientOver(published, network.Dial(""))
+	for range (f.options.Routers + f.options.PerWorker - 1) / f.options.PerWorker {
+		w, err := startWorker(f.starter, f.options.Worker, f.options.WorkerArgs...)
+		if err != nil {
+			return err
+		}
+		f.workers = append(f.workers, w)
+	}
+	f.sampler = newSampler(f)
+	setup := &Setup{Coordinators: published, Route: route, Routers: f.options.Routers, Zones: f.options.Zones, Databases: f.options.Databases}
+	if _, err := f.all(Command{Action: Configure, Setup: setup}); err != nil {
+		return err
+	}
+	const patience = 20 * time.Second // all coordinators of a new registry have to meet
+	return f.await(patience, "a coordinator leads", func() (bool, error) { return f.Leader() >= 0, nil })
+}
+
+func (f *Fleet) initCoordinators() error {
+	network := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256))
+	var spec []string
+	for n := range f.options.Coordinators {
+		c := &coordinatorProcess{name: fmt.Sprint("c", n+1), zone: f.options.Zones[n%len(f.options.Zones)], host: fmt.Sprint(network, 11+n)}
+		c.folder = filepath.Join(f.options.Folder, c.name)
+		c.published = fmt.Sprintf("%s%d:%d", network, 101+n, coordinatorPort)
+		c.listening = fmt.Sprintf("%s:%d", c.host, coordinatorPort)
+		var err error
+		if c.relay, err = newRelay(c.published, c.listening); err != nil {
+			return err
+		}
+		f.coordinators = append(f.coordinators, c)
+		spec = append(spec, fmt.Sprintf("%s=%s@%s", c.name, c.published, c.zone.Name))
+	}
+	token := ""
+	for _, c := range f.coordinators {
+		id, err := coordserver.Init(c.folder, c.name, strings.Join(spec, ","), token, f.options.Lease, 0.05)
+		if err != nil {
+			return err
+		}
+		token = id.Token
+	}
+	return nil
+}
+
+func (f *Fleet) startCoordinator(c *coordinatorProcess) error {
+	cmd := exec.Command(f.options.Keep, "run", c.folder, "--listen", c.listening, "--from", c.host)
+	cmd.Stderr = &c.log
+	if err := f.starter.start(cmd); err != nil {
+		return err
+	}
+	c.cmd = cmd
+	c.pid.Store(int64(cmd.Process.Pid))
+	return nil
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	if f.sampler != nil {
+		f.sampler.close()
+	}
+	for _, w := range f.workers {
+		w.close()
+	}
+	for n, c := range f.coordinators {
+		f.KillCoordinator(n)
+		c.relay.close()
+	}
+	if f.client != nil {
+		f.client.Close()
+	}
+	f.starter.close()
+}
+
+// Leader is the number of the coordinator that leads, -1: none says so.
+func (f *Fleet) Leader() int {
+	const patience = 2 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	leader, led := -1, 0.0
+	for n, status := range f.statuses(ctx) {
+		if status != nil && status.Led > 0 && (leader < 0 || status.Led < led) { // of two that say so the newer one
+			leader, led = n, status.Led
+		}
+	}
+	return leader
+}
+
+func (f *Fleet) statuses(ctx context.Context) []*coordinator.Status {
+	addresses := make([]string, len(f.coordinators))
+	for n, c := range f.coordinators {
+		addresses[n] = c.published
+	}
+	return f.client.Each(ctx, addresses)
+}
+
+// Registry as the coordinators agree on it now.
+func (f *Fleet) Registry() (p coordserver.Picture, err error) {
+	const patience = 3 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err = f.client.Call(ctx, "/v1/record", nil, &p)
+	return p, err
+}
+
+// all workers do a command; their reports are added, and acts go to the auditor.
+func (f *Fleet) all(c Command) (Report, error) {
+	return f.each(func(int) Command { return c })
+}
+
+func (f *Fleet) each(command func(worker int) Command) (sum Report, err error) {
+	var group errgroup.Group
+	reports := make([]Report, len(f.workers))
+	for n, w := range f.workers {
+		group.Go(func() (err error) {
+			reports[n], err = w.do(command(n))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return sum, err
+	}
+	for _, r := range reports {
+		sum.Add(r)
+	}
+	f.Audit.Add(sum.Acts)
+	sum.Acts = nil
+	if sum.Unseen > 0 {
+		return sum, fmt.Errorf("%d acts were not seen by the auditor", sum.Unseen)
+	}
+	return sum, f.sampler.err()
+}
+
+// routers in a command go to the workers that have them.
+func (f *Fleet) routers(action Action, numbers []int, runs bool) (Report, error) {
+	by := make([][]int, len(f.workers))
+	for _, number := range numbers {
+		k := (number - 1) / f.options.PerWorker
+		by[k] = append(by[k], number)
+		if runs {
+			f.live[number] = true
+		} else {
+			delete(f.live, number)
+		}
+	}
+	return f.each(func(k int) Command { return Command{Action: action, Routers: by[k]} })
+}
+
+// StartRouters starts new processes of these numbers.
+func (f *Fleet) StartRouters(numbers []int) (Report, error) { return f.routers(Start, numbers, true) }
+
+// CrashRouters ends these without a word.
+func (f *Fleet) CrashRouters(numbers []int) (Report, error) { return f.routers(Crash, numbers, false) }
+
+// StopRouters ends these in order.
+func (f *Fleet) StopRouters(numbers []int) (Report, error) { return f.routers(Stop, numbers, false) }
+
+// Load is what all routers have use for from now on.
+func (f *Fleet) Load(d Demand) error {
+	_, err := f.all(Command{Action: Load, Demand: &d})
+	return err
+}
+
+// Mark has confirmations count from now on.
+func (f *Fleet) Mark() error {
+	_, err := f.all(Command{Action: Mark})
+	return err
+}
+
+// Look at all routers.
+func (f *Fleet) Look() (Report, error) { return f.all(Command{Action: Look}) }
+
+// KillCoordinator ends that one as by a loss of power.
+func (f *Fleet) KillCoordinator(n int) {
+	c := f.coordinators[n]
+	if c.cmd == nil {
+		return
+	}
+	c.pid.Store(0)
+	c.cmd.Process.Kill()
+	c.cmd.Wait()
+	c.cmd = nil
+}
+
+// StartCoordinator starts one that is down, on the folder that it has.
+func (f *Fleet) StartCoordinator(n int) error {
+	if f.coordinators[n].cmd != nil {
+		return nil
+	}
+	return f.startCoordinator(f.coordinators[n])
+}
+
+// Coordinators are all numbers of coordinators.
+func (f *Fleet) Coordinators() (all []int) {
+	for n := range f.coordinators {
+		all = append(all, n)
+	}
+	return all
+}
+
+// CoordinatorsOf are the numbers of a region's coordinators.
+func (f *Fleet) CoordinatorsOf(region string) (all []int) {
+	for n, c := range f.coordinators {
+		if c.zone.Region == region {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// ZoneOf a router.
+func (f *Fleet) ZoneOf(router int) Zone { return f.options.Zones[(router-1)%len(f.options.Zones)] }
+
+// CutRegion cuts all links between that region and the others.
+func (f *Fleet) CutRegion(region string) error {
+	var inside, outside []string
+	for _, c := range f.coordinators {
+		if c.zone.Region == region {
+			inside = append(inside, c.host)
+		} else {
+			outside = append(outside, c.host)
+		}
+	}
+	for _, c := range f.coordinators {
+		if c.zone.Region == region {
+			c.relay.cutFrom(outside)
+		} else {
+			c.relay.cutFrom(inside)
+		}
+	}
+	for _, zone := range f.options.Zones {
+		var far []string
+		for _, c := range f.coordinators {
+			if (c.zone.Region == region) != (zone.Region == region) {
+				far = append(far, c.published)
+			}
+		}
+		if _, err := f.all(Command{Action: Cut, Region: zone.Region, Addresses: far}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Heal all links.
+func (f *Fleet) Heal() error {
+	for _, c := range f.coordinators {
+		c.relay.heal()
+	}
+	_, err := f.all(Command{Action: Heal})
+	return err
+}
+
+// Logs are the last lines of all coordinators.
+func (f *Fleet) Logs() string {
+	var all strings.Builder
+	for _, c := range f.coordinators {
+		fmt.Fprintf(&all, "%s: %s\n", c.name, c.log.String())
+	}
+	return all.String()
+}
+
+var errLate = errors.New("it took too long")
+
+const lookEvery = 200 * time.Millisecond
+
+// await asks until it is so.
+func (f *Fleet) await(patience time.Duration, what string, is func() (bool, error)) error {
+	for end := time.Now().Add(patience); ; {
+		good, err := is()
+		if good || err != nil {
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s: %w: %v", what, errLate, patience)
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+// Recovery is how long control took to be whole again.
+type Recovery struct {
+	Confirmed float64 // seconds until the last router's session was confirmed
+	Settled   float64 // seconds until also no dead session was left, and every task that is wanted had a living owner
+	Report    Report
+}
+
+// Recover waits until control is whole again: the sessions of so many routers are confirmed since the mark, the registry has theirs
+// alone, and so many tasks are owned.
+func (f *Fleet) Recover(since float64, routers, tasks int, patience time.Duration) (r Recovery, err error) {
+	confirmed := false
+	var picture coordserver.Picture
+	err = f.await(patience, "control is whole again", func() (bool, error) {
+		if !confirmed {
+			report, err := f.Look()
+			if err != nil {
+				return false, err
+			}
+			r.Report = report
+			if confirmed = report.Confirmed >= routers; !confirmed {
+				return false, nil
+			}
+			r.Confirmed = report.Last - since
+		}
+		p, err := f.Registry()
+		if err != nil {
+			return false, nil // no coordinator answers yet
+		}
+		picture = p
+		r.Settled = boottime.Now() - since
+		return len(p.Sessions) == routers && len(p.Owners) >= tasks, nil
+	})
+	if err != nil {
+		err = fmt.Errorf("%w; %d of %d routers confirmed, %d sessions, %d of %d tasks owned", err, r.Report.Confirmed, routers,
+			len(picture.Sessions), len(picture.Owners), tasks)
+	}
+	return r, err
+}
+
+// AwaitTasks waits until just so many tasks are owned.
+func (f *Fleet) AwaitTasks(tasks int, patience time.Duration) error {
+	owned := 0
+	err := f.await(patience, "tasks are owned", func() (bool, error) {
+		p, err := f.Registry()
+		owned = len(p.Owners)
+		return err == nil && owned == tasks, nil
+	})
+	if err != nil {
+		return fmt.Errorf("%w; %d of %d", err, owned, tasks)
+	}
+	return nil
+}
+
+// Live is how many routers run.
+func (f *Fleet) Live() int { return len(f.live) }
+
+// FolderBytes is the size of a coordinator's file.
+func (f *Fleet) FolderBytes(n int) (sum float64) {
+	entries, _ := os.ReadDir(f.coordinators[n].folder)
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil {
+			sum += float64(info.Size())
+		}
+	}
+	return sum
+}
+
+func (f *Fleet) coordinatorPIDs() (all []int) {
+	for _, c := range f.coordinators {
+		if pid := int(c.pid.Load()); pid > 0 {
+			all = append(all, pid)
+		}
+	}
+	return all
+}
+
+// FleetUsage is what the processes have used so far.
+type FleetUsage struct {
+	Coordinators []Usage // by number; nothing for one that is down
+	Routers      Usage   // of all worker processes
+}
+
+// Usage of all processes so far.
+func (f *Fleet) Usage() (u FleetUsage, err error) {
+	u.Coordinators = make([]Usage, len(f.coordinators))
+	for n, c := range f.coordinators {
+		if pid := int(c.pid.Load()); pid > 0 {
+			if u.Coordinators[n], err = usageOf(pid); err != nil {
+				return u, err
+			}
+		}
+	}
+	for _, w := range f.workers {
+		one, err := usageOf(w.cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		u.Routers.add(one)
+	}
+	return u, nil
+}
--- /dev/null
+++ b/internal/hollow/network.go
@@ -0,0 +1,132 @@
+package hollow
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"dunereach/internal/coordserver"
+)
+
+// connectTimeout is how long a connection attempt may take, as at a real router.
+const connectTimeout = 500 * time.Millisecond
+
+// link is one direction-less path between the routers of a region and a coordinator.
+type link struct{ region, address string }
+
+// Network carries the requests of hollow routers to coordinators. Links can be cut: what is written on a cut link is lost, what
+// arrives on it is dropped, and connections that lost something are closed when the link is healed.
+type Network struct {
+	route map[string]string // published address of a coordinator to the one that it listens on
+
+	mu    sync.Mutex
+	cut   map[link]bool
+	conns map[*linkConn]struct{}
+}
+
+// NewNetwork has all links up. Addresses that route does not name are called as they are.
+func NewNetwork(route map[string]string) *Network {
+	return &Network{route: route, cut: map[link]bool{}, conns: map[*linkConn]struct{}{}}
+}
+
+// Dial opens connections for a router of that region.
+func (n *Network) Dial(region string) coordserver.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		path := link{region, address}
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		if n.isCut(path) { // nothing answers: the attempt runs out its time
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if listening, ok := n.route[address]; ok {
+			address = listening
+		}
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return n.add(conn, path), nil
+	}
+}
+
+func (n *Network) isCut(path link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[path]
+}
+
+func (n *Network) add(conn net.Conn, path link) net.Conn {
+	c := &linkConn{Conn: conn, network: n, path: path}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = struct{}{}
+	return c
+}
+
+// Cut the links between the routers of a region and some coordinators.
+func (n *Network) Cut(region string, addresses []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range addresses {
+		n.cut[link{region, address}] = true
+	}
+}
+
+// Heal all links.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	var stale []*linkConn
+	for c := range n.conns {
+		if c.stale {
+			stale = append(stale, c)
+		}
+	}
+	clear(n.cut)
+	n.mu.Unlock()
+	for _, c := range stale {
+		c.Close()
+	}
+}
+
+// linkConn is a connection over one link.
+type linkConn struct {
+	net.Conn
+	network *Network
+	path    link
+	stale   bool // it lost something; guarded by the network's mutex
+}
+
+// loses tells whether what passes now is lost.
+func (c *linkConn) loses() bool {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	lost := c.network.cut[c.path]
+	c.stale = c.stale || lost
+	return lost
+}
+
+func (c *linkConn) Write(b []byte) (int, error) {
+	if c.loses() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *linkConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.loses() {
+			return n, err
+		}
+	}
+}
+
+func (c *linkConn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/hollow/process.go
@@ -0,0 +1,175 @@
+package hollow
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// starter starts processes that end with this one. The system ends them with the thread that started them, so that thread is kept.
+type starter struct{ starts chan func() }
+
+func newStarter() *starter {
+	s := &starter{starts: make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for start := range s.starts {
+			start()
+		}
+	}()
+	return s
+}
+
+func (s *starter) start(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	done := make(chan error)
+	s.starts <- func() { done <- cmd.Start() }
+	return <-done
+}
+
+func (s *starter) close() { close(s.starts) }
+
+// tail keeps the last lines of a process's log.
+type tail struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+const mostTail = 4 << 10 // bytes
+
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text.Write(b)
+	if over := t.text.Len() - mostTail; over > 0 {
+		t.text.Next(over)
+	}
+	return len(b), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.text.String()
+}
+
+// workerProcess is a worker in a process of its own.
+type workerProcess struct {
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out *bufio.Reader
+	log tail
+}
+
+// startWorker runs the program that serves a Worker on its standard input and output.
+func startWorker(s *starter, program string, args ...string) (*workerProcess, error) {
+	w := &workerProcess{cmd: exec.Command(program, args...)}
+	w.cmd.Stderr = &w.log
+	in, err := w.cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := w.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	w.in, w.out = in, bufio.NewReaderSize(out, 1<<20)
+	return w, s.start(w.cmd)
+}
+
+// do one command and wait for its report.
+func (w *workerProcess) do(c Command) (report Report, err error) {
+	line, err := json.Marshal(c)
+	if err != nil {
+		return report, err
+	}
+	if _, err := w.in.Write(append(line, '\n')); err != nil {
+		return report, fmt.Errorf("worker: %w: %s", err, w.log.String())
+	}
+	answer, err := w.out.ReadBytes('\n')
+	if err != nil {
+		return report, fmt.Errorf("worker: %w: %s", err, w.log.String())
+	}
+	if err := json.Unmarshal(answer, &report); err != nil {
+		return report, err
+	}
+	if report.Error != "" {
+		return report, errors.New(report.Error)
+	}
+	return report, nil
+}
+
+func (w *workerProcess) close() {
+	w.in.Close()
+	w.cmd.Process.Kill()
+	w.cmd.Wait()
+}
+
+// Usage of one process.
+type Usage struct {
+	Core        float64 // seconds of processor time
+	MemoryMB    float64 // resident
+	Transferred float64 // bytes that passed through read and write calls: sockets and files
+	Written     float64 // bytes that were written to the disk
+	Descriptors int
+}
+
+// clockTicks is USER_HZ, the same on every Linux that Go runs on.
+const clockTicks = 100
+
+// usageOf reads what the system counts of a process.
+func usageOf(pid int) (u Usage, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	const user, system, resident = 11, 12, 21
+	if len(fields) <= resident {
+		return u, errors.New("a line of /proc that can't be read")
+	}
+	var ticks, pages float64
+	for _, k := range []int{user, system} {
+		var n float64
+		fmt.Sscan(fields[k], &n)
+		ticks += n
+	}
+	fmt.Sscan(fields[resident], &pages)
+	u.Core = ticks / clockTicks
+	u.MemoryMB = pages * float64(os.Getpagesize()) / (1 << 20)
+	if text, err = os.ReadFile(fmt.Sprintf("/proc/%d/io", pid)); err != nil {
+		return u, err
+	}
+	for line := range strings.Lines(string(text)) {
+		var n float64
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		fmt.Sscan(value, &n)
+		switch name {
+		case "rchar", "wchar":
+			u.Transferred += n
+		case "write_bytes":
+			u.Written = n
+		}
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	u.Descriptors = len(open)
+	return u, err
+}
+
+func (u *Usage) add(o Usage) {
+	u.Core += o.Core
+	u.MemoryMB += o.MemoryMB
+	u.Transferred += o.Transferred
+	u.Written += o.Written
+	u.Descriptors += o.Descriptors
+}
--- /dev/null
+++ b/internal/hollow/relay.go
@@ -0,0 +1,133 @@
+package hollow
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// relay stands before one coordinator and carries the requests of the others to it. Callers are told apart by the address that
+// their connections come from.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	cut   map[string]bool // by caller's address
+	pairs map[*relayPair]bool
+	done  bool
+}
+
+// relayPair is a connection and its continuation.
+type relayPair struct {
+	caller string
+	conns  [2]net.Conn
+	stale  bool // it lost something
+}
+
+func newRelay(listen, target string) (*relay, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: listener, target: target, cut: map[string]bool{}, pairs: map[*relayPair]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.join(conn)
+	}
+}
+
+func (r *relay) join(conn net.Conn) {
+	caller, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	next, err := net.DialTimeout("tcp", r.target, connectTimeout)
+	if err != nil {
+		conn.(*net.TCPConn).SetLinger(0) // a refused connection, as the caller would see it
+		conn.Close()
+		return
+	}
+	p := &relayPair{caller: caller, conns: [2]net.Conn{conn, next}}
+	r.mu.Lock()
+	if r.done {
+		r.mu.Unlock()
+		p.close()
+		return
+	}
+	r.pairs[p] = true
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(p, conn, next) })
+	both.Go(func() { r.copy(p, next, conn) })
+	both.Wait()
+	r.mu.Lock()
+	delete(r.pairs, p)
+	r.mu.Unlock()
+}
+
+func (r *relay) copy(p *relayPair, from io.Reader, to io.Writer) {
+	defer p.close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !r.loses(p) {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) loses(p *relayPair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := r.cut[p.caller]
+	p.stale = p.stale || lost
+	return lost
+}
+
+// cutFrom drops all that these callers say and are told.
+func (r *relay) cutFrom(callers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, caller := range callers {
+		r.cut[caller] = true
+	}
+}
+
+// heal the links; connections that lost something end.
+func (r *relay) heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.cut)
+	for p := range r.pairs {
+		if p.stale {
+			p.close()
+		}
+	}
+}
+
+func (r *relay) close() {
+	r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done = true
+	for p := range r.pairs {
+		p.close()
+	}
+}
+
+func (p *relayPair) close() {
+	for _, conn := range p.conns {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/hollow/router.go
@@ -0,0 +1,191 @@
+// Package hollow runs the control part of routers without their data path: session, lease, agent and its driver's requests over
+// real sockets to real coordinators, and the list of databases in memory. Some hundreds share a process (Worker), and a Fleet is
+// some such processes with their coordinators, the faults between them and an auditor of what owners do.
+//
+// What is left out: client connections, requests, connections to databases, the folder of fences, and the name server's answers
+// (each router holds the list, but is told it once).
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dunereach/fleet/agent"
+	"dunereach/fleet/failover"
+	"dunereach/internal/agentdriver"
+	"dunereach/internal/boottime"
+	"dunereach/internal/coordserver"
+	"dunereach/internal/discovery"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond // as the router's data path tells the agent what it has use for
+	needs     = 2.0                    // equal parts of each cold database that a router has use for
+)
+
+// router is one hollow router's process, from its start to its end.
+type router struct {
+	number      int
+	name        string
+	incarnation uint64
+	zone        Zone
+	zoneCount   int
+	member      *agent.Member
+	driver      *agentdriver.Driver
+	client      *coordserver.Client
+	list        *discovery.Follower
+	demand      func() Demand
+	stop        chan struct{} // closed: end the session, then the process
+	cancel      context.CancelFunc
+	ended       chan struct{}
+
+	mu    sync.Mutex
+	state state
+}
+
+// state of a router as its worker sees it.
+type state struct {
+	session   bool
+	confirmed int     // views so far
+	since     float64 // boot clock, first confirmation after the mark, 0: none yet
+	held      int
+	shares    int
+	stats     agent.Stats
+}
+
+// newRouter is a process of that number that runs at once.
+func newRouter(s *Setup, n *Network, number int, demand func() Demand, act func(Act)) (*router, error) {
+	const digits = 1<<52 - 1 // as a real router draws it
+	at := (number - 1) % len(s.Zones)
+	r := &router{number: number, name: fmt.Sprint("r", number), incarnation: rand.Uint64()&digits | 1, zone: s.Zones[at], zoneCount: len(s.Zones), demand: demand,
+		stop: make(chan struct{}), ended: make(chan struct{})}
+	var err error
+	if r.list, err = newList(s); err != nil {
+		return nil, err
+	}
+	names := make([]string, len(s.Zones))
+	ways := make([][]float64, len(s.Zones))
+	for k, zone := range s.Zones {
+		names[k] = zone.Name
+		ways[k] = make([]float64, len(s.Zones))
+	}
+	id := fmt.Sprintf("%s/%x", r.name, r.incarnation)
+	r.client = coordserver.NewClientOver(s.Coordinators, n.Dial(r.zone.Region))
+	r.member = agent.New(agent.Config{Name: r.name, Zone: r.zone.Name, Region: r.zone.Region, Incarnation: r.incarnation, Seed: rand.Uint64(),
+		Stands: []string{agent.Warmth, agent.Trials, agent.Quotas, agent.Plans}, Zones: len(names), ZoneNames: names, ZoneNumber: at, Way: ways,
+		Members: s.Routers, Window: 1, Began: boottime.Now(), Now: boottime.Now,
+		Trace: func(t agent.Trace) {
+			if t.What == "act" {
+				act(Act{Task: t.Work, Router: id, Fence: t.Fence, At: t.At, Until: t.Until})
+			}
+		}}, agent.Kept{})
+	r.driver = agentdriver.NewDriver(r.member, r.client)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go r.run(ctx)
+	return r, nil
+}
+
+// run owns the member until the process ends.
+func (r *router) run(ctx context.Context) {
+	defer close(r.ended)
+	group, ctx := errgroup.WithContext(ctx)
+	r.driver.Run(ctx, group)
+	group.Go(func() error {
+		r.loop(ctx)
+		return nil
+	})
+	group.Wait()
+}
+
+func (r *router) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	stop := r.stop
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-stop:
+			stop = nil
+			r.driver.Put(r.member.Close(boottime.Now()))
+			time.AfterFunc(closeGrace, r.cancel)
+		case take := <-r.driver.News():
+			take()
+		case <-tick.C:
+			now := boottime.Now()
+			r.member.Tell(now, r.needs(r.demand()))
+			r.driver.Put(r.member.Tick(now))
+		}
+		r.publish()
+	}
+}
+
+// closeGrace is how long a router that ends waits for its last request.
+const closeGrace = time.Second
+
+// needs is the demand as the data path would tell it.
+func (r *router) needs(d Demand) agent.Demand {
+	var all agent.Demand
+	for n := range d.Cold {
+		all.Cold = append(all.Cold, agent.Cold{Engine: engine(n, d.Generation), Need: needs / float64(max(r.member.Fleet(), 1))})
+	}
+	if d.Reports {
+		all.Report = r.report
+	}
+	return all
+}
+
+// engine is a cold database of one generation.
+func engine(n, generation int) agent.Engine {
+	return agent.Engine{ID: uint32(n + 1), Start: float64(generation + 1)}
+}
+
+// report is evidence of a second in which all went well, with traffic in the router's own zone and a little in each other.
+func (r *router) report() failover.Report {
+	const work, cores = 3.75, 16.0 // core seconds a second: 750 requests of 5 ms; ready cores in a zone
+	report := failover.Report{Demand: work, Sights: make([]failover.Sight, r.zoneCount)}
+	report.Zone = (r.number - 1) % len(report.Sights)
+	for z := range report.Sights {
+		report.Sights[z] = failover.Sight{Sent: 10, Work: work / 100, Slow: 1.2, Ready: cores}
+	}
+	report.Sights[report.Zone] = failover.Sight{Sent: 700, Work: work, Slow: 1.2, Ready: cores}
+	return report
+}
+
+// publish what the worker may look at.
+func (r *router) publish() {
+	now, d := boottime.Now(), r.demand()
+	shares := 0
+	for n := range d.Cold {
+		e := engine(n, d.Generation)
+		if part, ok := r.member.Part(now, e.ID, e.Start); ok && part > 0 {
+			shares++
+		}
+	}
+	stats := r.member.Stats
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if stats.Confirmed > r.state.confirmed && r.state.since == 0 {
+		r.state.since = now
+	}
+	r.state.session, r.state.confirmed, r.state.held, r.state.shares, r.state.stats = r.member.Session() != 0, stats.Confirmed, len(r.member.Held()), shares, stats
+}
+
+// mark has confirmations count from now on.
+func (r *router) mark() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.since = 0
+}
+
+func (r *router) look() state {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
--- /dev/null
+++ b/internal/hollow/sampler.go
@@ -0,0 +1,126 @@
+package hollow
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Peak is the most that was seen of the fleet's processes.
+type Peak struct {
+	Core        float64 // of the busiest coordinator, over a second
+	Bytes       float64 // a second, in and out, of the busiest coordinator
+	MemoryMB    float64 // of all processes together, this one among them
+	Coordinator float64 // MB of the largest coordinator
+	Descriptors int     // of the coordinator that has most
+	Processes   int
+}
+
+// sampler looks at all processes once a second.
+type sampler struct {
+	fleet *Fleet
+	stop  chan struct{}
+	ended chan struct{}
+
+	mu   sync.Mutex
+	peak Peak
+	over error // a bound of the machine that was passed
+}
+
+const sampleEvery = time.Second
+
+func newSampler(f *Fleet) *sampler {
+	s := &sampler{fleet: f, stop: make(chan struct{}), ended: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+func (s *sampler) run() {
+	defer close(s.ended)
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	last := map[int]Usage{}
+	at := time.Now()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+		took := time.Since(at).Seconds()
+		at = time.Now()
+		last = s.sample(last, took)
+	}
+}
+
+// sample all processes once; last is what they had used before, by process.
+func (s *sampler) sample(last map[int]Usage, took float64) map[int]Usage {
+	now := map[int]Usage{}
+	all := Peak{Processes: 1}
+	add := func(pid int) (Usage, bool) {
+		u, err := usageOf(pid)
+		if err != nil {
+			return u, false // it has just ended
+		}
+		all.MemoryMB += u.MemoryMB
+		all.Processes++
+		return u, true
+	}
+	if u, err := usageOf(os.Getpid()); err == nil {
+		all.MemoryMB += u.MemoryMB
+	}
+	for _, w := range s.fleet.workers {
+		add(w.cmd.Process.Pid)
+	}
+	for _, pid := range s.fleet.coordinatorPIDs() {
+		u, ok := add(pid)
+		if !ok {
+			continue
+		}
+		now[pid] = u
+		all.Coordinator = max(all.Coordinator, u.MemoryMB)
+		all.Descriptors = max(all.Descriptors, u.Descriptors)
+		if before, ok := last[pid]; ok {
+			all.Core = max(all.Core, (u.Core-before.Core)/took)
+			all.Bytes = max(all.Bytes, (u.Transferred-before.Transferred)/took)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peak.Raise(all)
+	if all.MemoryMB > MostMemoryMB || all.Processes > MostProcesses {
+		s.over = fmt.Errorf("%d processes take %.0f MB: %d and %d are the most", all.Processes, all.MemoryMB, MostProcesses, MostMemoryMB)
+	}
+	return now
+}
+
+// Raise to another's figures where those are more.
+func (p *Peak) Raise(o Peak) {
+	p.Core, p.Bytes = max(p.Core, o.Core), max(p.Bytes, o.Bytes)
+	p.MemoryMB, p.Coordinator = max(p.MemoryMB, o.MemoryMB), max(p.Coordinator, o.Coordinator)
+	p.Descriptors, p.Processes = max(p.Descriptors, o.Descriptors), max(p.Processes, o.Processes)
+}
+
+func (s *sampler) err() error {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
+
+func (s *sampler) close() {
+	close(s.stop)
+	<-s.ended
+}
+
+// TakePeak is the most that was seen since the last call.
+func (f *Fleet) TakePeak() Peak {
+	f.sampler.mu.Lock()
+	defer f.sampler.mu.Unlock()
+	p := f.sampler.peak
+	f.sampler.peak = Peak{}
+	return p
+}
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -1,6 +1,233 @@
 package scale
 
-import "dunereach/internal/measure"
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
 
-// Control is not measured yet.
-func Control(short bool) ([]measure.Row, error) { return nil, nil }
+	"dunereach/internal/boottime"
+	"dunereach/internal/hollow"
+	"dunereach/internal/measure"
+)
+
+// The fleet that control is measured with. Five of the machines that are set aside have a coordinator with a vote, three of them in
+// one region and two in the other; two machines are spare, as a registry begins with five coordinators at most.
+const (
+	coordinators    = 5
+	controlLease    = 4.0 // seconds, as by default
+	routersAProcess = 200
+	controlPatience = 60 * time.Second // for control to be whole again
+	plannedTasks    = 1                // the fleet's plan, which is always wanted
+)
+
+// ControlPart is one of the measurements of control, which can be run alone.
+type ControlPart struct {
+	Name, About string
+	Run         func(routers int) ([]measure.Row, error) // at up to so many routers
+}
+
+// ControlParts are all of them, in the order in which they are printed.
+var ControlParts = []ControlPart{
+	{"state", "Size of the registry's snapshot by sessions and tasks", controlState},
+	{"idle", "What sessions cost while nothing is cold, with and without reports on zones", controlIdle},
+	{"cold", "What cold databases cost", controlCold},
+	{"return", "How long sessions take to be open again", controlReturn},
+	{"faults", "A rack, a zone, a region's links, a rolling restart", controlFaults},
+}
+
+// Control measures coordinators and hollow routers over real sockets.
+func Control(short bool) ([]measure.Row, error) {
+	if short {
+		return controlShort()
+	}
+	var all []measure.Row
+	for _, part := range ControlParts {
+		rows, err := part.Run(TargetRouters)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", part.Name, err)
+		}
+		all = append(all, rows...)
+	}
+	return all, nil
+}
+
+// controlSizes are the routers at which slopes are measured: for 1,600 these are 100, 400, 800 and 1,600.
+func controlSizes(most int) []int { return []int{most / 16, most / 4, most / 2, most} }
+
+func lastOf(sizes []int) int { return sizes[len(sizes)-1] }
+
+// targetZones are the zones of the target, which belong to the two regions in turn.
+func targetZones() (zones []hollow.Zone) {
+	regions := [TargetRegions]string{"north", "south"}
+	for n := range TargetZones {
+		zones = append(zones, hollow.Zone{Name: fmt.Sprint("z", n+1), Region: regions[n%TargetRegions]})
+	}
+	return zones
+}
+
+// controlFleet is a fleet that is measured, with its folder.
+type controlFleet struct {
+	*hollow.Fleet
+	folder string
+	peak   hollow.Peak // of the whole run
+}
+
+// newControlFleet has coordinators and no routers yet.
+func newControlFleet(routers int) (*controlFleet, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	keep := filepath.Join(filepath.Dir(self), "dunekeep")
+	if _, err := os.Stat(keep); err != nil {
+		return nil, fmt.Errorf("dunekeep is not beside this program: `make build` first")
+	}
+	folder, err := os.MkdirTemp("", "dunehollow")
+	if err != nil {
+		return nil, err
+	}
+	fleet, err := hollow.New(hollow.Options{Keep: keep, Worker: self, WorkerArgs: []string{"hollow"}, Folder: folder,
+		Coordinators: coordinators, Routers: routers, PerWorker: min(routersAProcess, (routers+1)/2), Zones: targetZones(),
+		Databases: TargetDatabases, Lease: controlLease})
+	if err != nil {
+		os.RemoveAll(folder)
+		return nil, err
+	}
+	return &controlFleet{Fleet: fleet, folder: folder}, nil
+}
+
+func (f *controlFleet) close() {
+	f.Close()
+	os.RemoveAll(f.folder)
+}
+
+// load all routers, and wait until the tasks that go with that have owners.
+func (f *controlFleet) load(d hollow.Demand) error {
+	if err := f.Load(d); err != nil {
+		return err
+	}
+	return f.AwaitTasks(plannedTasks+d.Cold, controlPatience)
+}
+
+// takePeak since the last call.
+func (f *controlFleet) takePeak() hollow.Peak {
+	p := f.TakePeak()
+	f.peak.Raise(p)
+	return p
+}
+
+// grow to so many routers, and tell how long that took.
+func (f *controlFleet) grow(from, to int) (hollow.Recovery, error) {
+	if err := f.Mark(); err != nil {
+		return hollow.Recovery{}, err
+	}
+	began := boottime.Now()
+	if _, err := f.StartRouters(numbers(from+1, to)); err != nil {
+		return hollow.Recovery{}, err
+	}
+	return f.recover(began, plannedTasks)
+}
+
+// recover waits until control is whole again for all routers that run.
+func (f *controlFleet) recover(since float64, tasks int) (hollow.Recovery, error) {
+	r, err := f.Recover(since, f.Live(), tasks, controlPatience)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, f.Logs())
+	}
+	return r, err
+}
+
+func numbers(from, to int) (all []int) {
+	for n := from; n <= to; n++ {
+		all = append(all, n)
+	}
+	return all
+}
+
+// window is what was used a second while some time passed.
+type window struct {
+	leaderCore, followerCore        float64
+	leaderMB, followerMB            float64
+	leaderBytes, followerBytes      float64 // in and out, by read and write calls
+	leaderDisk, followerDisk        float64 // bytes written
+	leaderDescriptors               float64
+	routerCore, routerMB            float64            // each
+	routerRequests, routerBytes     float64            // each, on connections, with headers
+	requestsByPath, bodyBytesByPath map[string]float64 // each router
+	shares                          float64            // of routers by cold databases that may use a granted part
+}
+
+// measure what a fleet of so many routers uses while time passes.
+func (f *controlFleet) measure(routers int, length time.Duration) (w window, err error) {
+	report0, err := f.Look()
+	if err != nil {
+		return w, err
+	}
+	usage0, err := f.Usage()
+	if err != nil {
+		return w, err
+	}
+	began := time.Now()
+	time.Sleep(length) // what is measured is a rate
+	usage1, err := f.Usage()
+	if err != nil {
+		return w, err
+	}
+	took := time.Since(began).Seconds()
+	report1, err := f.Look()
+	if err != nil {
+		return w, err
+	}
+	w.coordinators(usage0.Coordinators, usage1.Coordinators, took)
+	n := float64(routers)
+	w.routerCore = (usage1.Routers.Core - usage0.Routers.Core) / took / n
+	w.routerMB = usage1.Routers.MemoryMB / n
+	w.routerRequests = float64(report1.Requests-report0.Requests) / took / n
+	w.routerBytes = float64(report1.Bytes-report0.Bytes) / took / n
+	w.requestsByPath, w.bodyBytesByPath = map[string]float64{}, map[string]float64{}
+	for path, traffic := range report1.ByPath {
+		before := report0.ByPath[path]
+		w.requestsByPath[path] = float64(traffic.Requests-before.Requests) / took / n
+		w.bodyBytesByPath[path] = float64(traffic.Bytes-before.Bytes) / took / n
+	}
+	w.shares = float64(report1.Shares) / n
+	return w, nil
+}
+
+// coordinators: the busiest one leads, the others are told by their mean.
+func (w *window) coordinators(before, after []hollow.Usage, took float64) {
+	busiest, most := 0, math.Inf(-1)
+	for n := range after {
+		if used := after[n].Core - before[n].Core; used > most {
+			busiest, most = n, used
+		}
+	}
+	others := float64(len(after) - 1)
+	for n, u := range after {
+		core, bytes, disk := (u.Core-before[n].Core)/took, (u.Transferred-before[n].Transferred)/took, (u.Written-before[n].Written)/took
+		if n == busiest {
+			w.leaderCore, w.leaderBytes, w.leaderDisk = core, bytes, disk
+			w.leaderMB, w.leaderDescriptors = u.MemoryMB, float64(u.Descriptors)
+			continue
+		}
+		w.followerCore, w.followerBytes, w.followerDisk = w.followerCore+core/others, w.followerBytes+bytes/others, w.followerDisk+disk/others
+		w.followerMB += u.MemoryMB / others
+	}
+}
+
+// whole rows: what the run as a whole was allowed, and what its auditor found.
+func (f *controlFleet) bounds(name string) []measure.Row {
+	f.takePeak()
+	f.Audit.Judge()
+	for _, line := range f.Audit.Wrong {
+		fmt.Fprintln(os.Stderr, line)
+	}
+	return []measure.Row{
+		measure.AtMost(name+": memory of all processes, GB", f.peak.MemoryMB/1024, hollow.MostMemoryMB/1024),
+		measure.AtMost(name+": processes", float64(f.peak.Processes), hollow.MostProcesses),
+		measure.Figure(name+": acts of owners that were judged", float64(f.Audit.Acts)),
+		measure.AtMost(name+": stale decisions", float64(f.Audit.Stale), 0),
+	}
+}
--- /dev/null
+++ b/internal/scale/control_return.go
@@ -0,0 +1,129 @@
+package scale
+
+import (
+	"fmt"
+
+	"dunereach/internal/boottime"
+	"dunereach/internal/hollow"
+	"dunereach/internal/measure"
+)
+
+// faultLoad is what routers have use for while faults are played: some tasks whose owners act all the time.
+var faultLoad = hollow.Demand{Cold: 2, Reports: true}
+
+const faultTasks = plannedTasks + 2
+
+// fault is one event, and how control came back from it.
+type fault struct {
+	name string
+	// back is whether what was lost has come back with it.
+	recovery hollow.Recovery
+	peak     hollow.Peak
+}
+
+// play an event and wait until control is whole again, with all routers that run then.
+func (f *controlFleet) play(name string, event func() error) (fault, error) {
+	f.takePeak()
+	if err := f.Mark(); err != nil {
+		return fault{}, err
+	}
+	began := boottime.Now()
+	if err := event(); err != nil {
+		return fault{}, fmt.Errorf("%s: %w", name, err)
+	}
+	recovery, err := f.recover(began, faultTasks)
+	if err != nil {
+		return fault{}, fmt.Errorf("%s: %w", name, err)
+	}
+	return fault{name: name, recovery: recovery, peak: f.takePeak()}, nil
+}
+
+// rows of one fault.
+func (x fault) rows() []measure.Row {
+	return []measure.Row{
+		measure.Figure(x.name+": seconds until all sessions were confirmed", x.recovery.Confirmed),
+		measure.AtMost(x.name+": seconds until all tasks were owned and no dead session was left", x.recovery.Settled, controlPatience.Seconds()),
+		measure.Figure(x.name+": busiest coordinator, core over a second at most", x.peak.Core),
+		measure.Figure(x.name+": busiest coordinator, MB a second in and out at most", x.peak.Bytes/1e6),
+	}
+}
+
+// loseLeader kills the coordinator that leads and starts it again once control is whole.
+func (f *controlFleet) loseLeader(name string) (fault, error) {
+	leader := -1
+	lost, err := f.play(name, func() error {
+		if leader = f.Leader(); leader < 0 {
+			return fmt.Errorf("no coordinator leads")
+		}
+		f.KillCoordinator(leader)
+		return nil
+	})
+	if err != nil {
+		return lost, err
+	}
+	return lost, f.StartCoordinator(leader)
+}
+
+// loseCoordinators kills all of them and starts them again.
+func (f *controlFleet) loseCoordinators(name string) (fault, error) {
+	return f.play(name, func() error {
+		for _, n := range f.Coordinators() {
+			f.KillCoordinator(n)
+		}
+		for _, n := range f.Coordinators() {
+			if err := f.StartCoordinator(n); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// restartRouters crashes these and starts them again.
+func (f *controlFleet) restartRouters(name string, which []int) (fault, error) {
+	return f.play(name, func() error {
+		if _, err := f.CrashRouters(which); err != nil {
+			return err
+		}
+		_, err := f.StartRouters(which)
+		return err
+	})
+}
+
+// controlReturn measures how long sessions take to be open again, at growing sizes.
+func controlReturn(routers int) ([]measure.Row, error) {
+	sizes := controlSizes(routers)
+	f, err := newControlFleet(routers)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	names := []string{"leader lost", "all coordinators restart", "all routers restart at once"}
+	all := make([][]fault, len(names))
+	for k, size := range sizes {
+		if _, err := f.grow(sizeBefore(sizes, k), size); err != nil {
+			return nil, err
+		}
+		if err := f.load(faultLoad); err != nil {
+			return nil, err
+		}
+		for n, play := range []func(string) (fault, error){f.loseLeader, f.loseCoordinators,
+			func(name string) (fault, error) { return f.restartRouters(name, numbers(1, size)) }} {
+			x, err := play(fmt.Sprintf("%s, %d routers", names[n], size))
+			if err != nil {
+				return nil, err
+			}
+			all[n] = append(all[n], x)
+		}
+	}
+	var rows []measure.Row
+	for n, name := range names {
+		var xs, ys []float64
+		for k, x := range all[n] {
+			rows = append(rows, x.rows()...)
+			xs, ys = append(xs, float64(sizes[k])), append(ys, x.recovery.Confirmed)
+		}
+		rows = append(rows, FitLine(xs, ys).Rows(name+": seconds until all sessions were confirmed", "routers", 1000)...)
+	}
+	return append(rows, f.bounds("return")...), nil
+}
