--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -205,8 +205,10 @@
 	reports := make([]Report, len(f.workers))
 	for n, w := range f.workers {
 		group.Go(func() (err error) {
-			reports[n], err = w.do(command(n))
-			return err
+			if reports[n], err = w.do(command(n)); err != nil {
+				return fmt.Errorf("%w: %s", err, w.log.String())
+			}
+			return nil
 		})
 	}
 	if err := group.Wait(); err != nil {
--- /dev/null
+++ b/internal/hollow/hollow_test.go
@@ -0,0 +1,301 @@
+package hollow
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"dunereach/internal/boottime"
+	"dunereach/internal/coordserver"
+
+	"go.uber.org/zap"
+)
+
+// coordinatorFor runs one coordinator in this process and gives its address.
+func coordinatorFor(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	folder := t.TempDir()
+	if _, err := coordserver.Init(folder, "c1", "c1="+address+"@z1", "", 2, 0.05); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- coordserver.Serve(ctx, folder, coordserver.Options{}, zap.NewNop()) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return address
+}
+
+// served is a worker behind the same lines of text that a process of its own would read and write.
+func served(t *testing.T, coordinator string, routers int) func(Command) Report {
+	t.Helper()
+	commands, in := io.Pipe()
+	out, reports := io.Pipe()
+	ended := make(chan error, 1)
+	go func() { ended <- NewWorker().Serve(commands, reports) }()
+	w := newLineClient(in, out)
+	do := func(c Command) Report {
+		t.Helper()
+		report, err := w.do(c)
+		if err != nil {
+			t.Fatalf("%s: %v", c.Action, err)
+		}
+		return report
+	}
+	t.Cleanup(func() {
+		in.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	do(Command{Action: Configure, Setup: &Setup{Coordinators: []string{coordinator}, Routers: routers, Databases: 30,
+		Zones: []Zone{{"z1", "north"}, {"z2", "south"}}}})
+	return do
+}
+
+func until(t *testing.T, do func(Command) Report, what string, is func(Report) bool) Report {
+	t.Helper()
+	const patience = 20 * time.Second
+	var report Report
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if report = do(Command{Action: Look}); is(report) {
+			return report
+		}
+	}
+	t.Fatalf("%s: %+v", what, report)
+	return report
+}
+
+// TestRouters: sessions open, a cold database gets an owner whose acts are told once, crashed routers come again under new
+// sessions, and a cut link keeps its routers from being confirmed until it is healed.
+func TestRouters(t *testing.T) {
+	address := coordinatorFor(t)
+	do := served(t, address, 4)
+	do(Command{Action: Start, Routers: []int{1, 2, 3, 4}})
+	report := until(t, do, "all sessions are open", func(r Report) bool { return r.Open == 4 })
+	if report.Live != 4 || report.Listed != 4*30 {
+		t.Errorf("%d routers run, with %d databases in all lists", report.Live, report.Listed)
+	}
+	do(Command{Action: Load, Demand: &Demand{Cold: 1}})
+	audit := NewAuditor()
+	until(t, do, "an owner acts", func(r Report) bool {
+		audit.Add(r.Acts)
+		return r.Held >= 1 && len(audit.acts) > 2
+	})
+	until(t, do, "parts are granted", func(r Report) bool {
+		audit.Add(r.Acts)
+		return r.Shares == 4
+	})
+	do(Command{Action: Crash, Routers: []int{1, 2}})
+	do(Command{Action: Mark})
+	do(Command{Action: Start, Routers: []int{1, 2}})
+	until(t, do, "crashed routers are back", func(r Report) bool {
+		audit.Add(r.Acts)
+		return r.Confirmed == 4
+	})
+	do(Command{Action: Cut, Region: "south", Addresses: []string{address}})
+	do(Command{Action: Mark})
+	time.Sleep(2500 * time.Millisecond) // longer than an answer that was under way, and than a lease
+	if cut := do(Command{Action: Mark}); cut.Live != 4 {
+		t.Errorf("%d routers run", cut.Live)
+	}
+	until(t, do, "the other region goes on", func(r Report) bool {
+		audit.Add(r.Acts)
+		return r.Confirmed == 2
+	})
+	do(Command{Action: Heal})
+	until(t, do, "all are confirmed again", func(r Report) bool {
+		audit.Add(r.Acts)
+		return r.Confirmed == 4
+	})
+	audit.Judge()
+	if audit.Stale != 0 || audit.Acts == 0 {
+		t.Errorf("%d acts, %d stale: %v", audit.Acts, audit.Stale, audit.Wrong)
+	}
+	if traffic := do(Command{Action: Look}); traffic.ByPath["/v1/beat"].Requests == 0 || traffic.Bytes < traffic.ByPath["/v1/beat"].Bytes {
+		t.Errorf("traffic: %+v", traffic)
+	}
+}
+
+// TestWorkerRefuses: what can't be done is told in one line, and what runs goes on.
+func TestWorkerRefuses(t *testing.T) {
+	w := NewWorker()
+	if _, err := w.Do(Command{Action: Look}); err == nil {
+		t.Error("a worker without a setup looks")
+	}
+	if _, err := w.Do(Command{Action: Configure}); err == nil {
+		t.Error("a setup that is missing is taken")
+	}
+	if _, err := w.Do(Command{Action: Configure, Setup: &Setup{Zones: []Zone{{"z1", "north"}}, Coordinators: []string{"127.0.0.1:1"}}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Do(Command{Action: "dance"}); err == nil {
+		t.Error("an unknown action is taken")
+	}
+	if _, err := w.Do(Command{Action: Load}); err == nil {
+		t.Error("a load without a demand is taken")
+	}
+	many := make([]int, mostRouters+1)
+	for n := range many {
+		many[n] = n + 1
+	}
+	if _, err := w.Do(Command{Action: Start, Routers: many}); err == nil || w.report().Live != 0 {
+		t.Error("more routers than a process may have are started")
+	}
+	if _, err := w.Do(Command{Action: Start, Routers: []int{1, 1}}); err == nil {
+		t.Error("a router is started twice")
+	}
+	w.end(w.numbers(), func(r *router) { r.cancel() })
+}
+
+// TestAuditor: an act after a lease, one under an older fence and one under another's fence are stale; the rest is not.
+func TestAuditor(t *testing.T) {
+	good := []Act{{"t", "a", 1, 10, 12}, {"t", "a", 1, 11, 13}, {"t", "b", 2, 14, 16}, {"u", "a", 3, 14, 16}}
+	for _, c := range []struct {
+		name  string
+		acts  []Act
+		stale int
+		why   string
+	}{
+		{"in order", good, 0, ""},
+		{"as they arrive, not as they happened", []Act{good[2], good[0], good[1]}, 0, ""},
+		{"a lease that is over", append(good[:1:1], Act{"t", "a", 1, 13, 12.5}), 1, "lease"},
+		{"an older fence", append(good[:3:3], Act{"t", "a", 1, 15, 17}), 1, "acted under fence 2"},
+		{"a fence of another", append(good[:2:2], Act{"t", "b", 1, 11.5, 13}), 1, "fence of a"},
+	} {
+		a := NewAuditor()
+		a.Add(c.acts)
+		a.Judge()
+		if a.Stale != c.stale || a.Acts != len(c.acts) || c.why != "" && !strings.Contains(strings.Join(a.Wrong, " "), c.why) {
+			t.Errorf("%s: %d of %d stale: %v", c.name, a.Stale, a.Acts, a.Wrong)
+		}
+	}
+}
+
+// echo answers each connection with what it reads.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(conn, conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answers tells whether a connection gives back what it is given, or is silent, or ends.
+func answers(conn net.Conn) string {
+	const silence = 200 * time.Millisecond
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return "ends"
+	}
+	conn.SetReadDeadline(time.Now().Add(silence))
+	_, err := conn.Read(make([]byte, 1))
+	if wait, ok := err.(net.Error); ok && wait.Timeout() {
+		return "is silent"
+	}
+	if err != nil {
+		return "ends"
+	}
+	return "answers"
+}
+
+// TestLinks: a cut link loses what is said on it, both before coordinators and between them; healed, connections that lost
+// something end, others go on.
+func TestLinks(t *testing.T) {
+	target := echo(t)
+	network := NewNetwork(map[string]string{"10.9.9.9:1": target})
+	relayed, err := newRelay("127.0.0.1:0", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relayed.close)
+	for _, c := range []struct {
+		name string
+		dial func(ctx context.Context) (net.Conn, error)
+		cut  func()
+		heal func()
+	}{
+		{"a router's", func(ctx context.Context) (net.Conn, error) { return network.Dial("south")(ctx, "tcp", "10.9.9.9:1") },
+			func() { network.Cut("south", []string{"10.9.9.9:1"}) }, network.Heal},
+		{"a coordinator's", func(ctx context.Context) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", relayed.listener.Addr().String())
+		}, func() { relayed.cutFrom([]string{"127.0.0.1"}) }, relayed.heal},
+	} {
+		used, err := c.dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := answers(used); got != "answers" {
+			t.Errorf("%s link %s", c.name, got)
+		}
+		c.cut()
+		if got := answers(used); got != "is silent" {
+			t.Errorf("%s cut link %s", c.name, got)
+		}
+		c.heal()
+		if got := answers(used); got != "ends" {
+			t.Errorf("%s connection that lost something %s", c.name, got)
+		}
+		again, err := c.dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := answers(again); got != "answers" {
+			t.Errorf("%s healed link %s", c.name, got)
+		}
+		c.cut()
+		c.heal()
+		if got := answers(again); got != "answers" {
+			t.Errorf("%s connection that lost nothing %s", c.name, got)
+		}
+	}
+	network.Cut("south", []string{"10.9.9.9:1"})
+	began := boottime.Now()
+	if _, err := network.Dial("south")(t.Context(), "tcp", "10.9.9.9:1"); err == nil || boottime.Now()-began < connectTimeout.Seconds()-0.01 {
+		t.Errorf("a connection over a cut link: %v after %.2f s", err, boottime.Now()-began)
+	}
+	if conn, err := network.Dial("north")(t.Context(), "tcp", "10.9.9.9:1"); err != nil || answers(conn) != "answers" {
+		t.Errorf("another region's link: %v", err)
+	}
+}
+
+// TestUsage reads this process's own figures.
+func TestUsage(t *testing.T) {
+	u, err := usageOf(os.Getpid())
+	if err != nil || u.MemoryMB <= 1 || u.Descriptors < 3 || u.Transferred <= 0 {
+		t.Errorf("%+v %v", u, err)
+	}
+	if _, err := usageOf(-1); err == nil {
+		t.Error("a process that is none has a usage")
+	}
+	var p Peak
+	p.Raise(Peak{Core: 1, Processes: 4})
+	p.Raise(Peak{Core: 0.5, Processes: 5, MemoryMB: 7})
+	if want := (Peak{Core: 1, Processes: 5, MemoryMB: 7}); p != want {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/hollow/process.go
+++ b/internal/hollow/process.go
@@ -62,11 +62,20 @@
 	return t.text.String()
 }
 
+// lineClient speaks to a worker, a line of JSON each way.
+type lineClient struct {
+	in  io.WriteCloser
+	out *bufio.Reader
+}
+
+func newLineClient(in io.WriteCloser, out io.Reader) *lineClient {
+	return &lineClient{in, bufio.NewReaderSize(out, 1<<20)}
+}
+
 // workerProcess is a worker in a process of its own.
 type workerProcess struct {
+	*lineClient
 	cmd *exec.Cmd
-	in  io.WriteCloser
-	out *bufio.Reader
 	log tail
 }
 
@@ -82,22 +91,22 @@
 	if err != nil {
 		return nil, err
 	}
-	w.in, w.out = in, bufio.NewReaderSize(out, 1<<20)
+	w.lineClient = newLineClient(in, out)
 	return w, s.start(w.cmd)
 }
 
 // do one command and wait for its report.
-func (w *workerProcess) do(c Command) (report Report, err error) {
+func (w *lineClient) do(c Command) (report Report, err error) {
 	line, err := json.Marshal(c)
 	if err != nil {
 		return report, err
 	}
 	if _, err := w.in.Write(append(line, '\n')); err != nil {
-		return report, fmt.Errorf("worker: %w: %s", err, w.log.String())
+		return report, fmt.Errorf("worker: %w", err)
 	}
 	answer, err := w.out.ReadBytes('\n')
 	if err != nil {
-		return report, fmt.Errorf("worker: %w: %s", err, w.log.String())
+		return report, fmt.Errorf("worker: %w", err)
 	}
 	if err := json.Unmarshal(answer, &report); err != nil {
 		return report, err
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -64,6 +64,8 @@
 
 var (
 	errNotConfigured = errors.New("the first command has to configure the worker, and no other may")
+	errNoDemand      = errors.New("a load without a demand")
+	errTwice         = errors.New("a router runs already, or is named twice")
 	errTooMany       = fmt.Errorf("more than %d routers in one process", mostRouters)
 )
 
@@ -83,6 +85,9 @@
 	case Stop:
 		w.end(c.Routers, func(r *router) { close(r.stop) })
 	case Load:
+		if c.Demand == nil {
+			return w.report(), errNoDemand
+		}
 		w.demand.Store(c.Demand)
 	case Cut:
 		w.network.Cut(c.Region, c.Addresses)
@@ -104,14 +109,14 @@
 	if len(w.routers)+len(numbers) > mostRouters {
 		return errTooMany
 	}
+	if slices.ContainsFunc(numbers, func(n int) bool { return w.routers[n] != nil }) || len(slices.Compact(slices.Sorted(slices.Values(numbers)))) < len(numbers) {
+		return errTwice
+	}
 	started := make([]*router, len(numbers))
 	failed := make([]error, len(numbers))
 	var wait sync.WaitGroup
 	places := make(chan struct{}, runtime.GOMAXPROCS(0))
 	for k, number := range numbers {
-		if w.routers[number] != nil {
-			return fmt.Errorf("router %d runs already", number)
-		}
 		places <- struct{}{}
 		wait.Go(func() {
 			started[k], failed[k] = newRouter(w.setup, w.network, number, func() Demand { return *w.demand.Load() }, w.act)
