A heartbeat costs no more in a fleet of 1,600 than in one of 100

Routers with zones want the operators' words (words/zones), a task that nobody owns, and the search for a free task's owner walked and sorted all sessions with each heartbeat. Kinds that no session stands for are passed over before that, and from 300 sessions on free tasks are looked for once a tick (0.05 s) instead of with each heartbeat and entry; smaller fleets decide as before. Tasks are indexed by owner: looking at each session after an agreed entry walked all tasks for each.

--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -24,6 +24,8 @@
 	asked    []waiting          // the question whether it does is out
 	question uint64
 	askedAt  float64
+	standing map[string]int  // sessions that would own works of a kind
+	assigned float64         // when free works were last looked at
 	assigns  map[string]bool // works whose owner is being agreed
 	wanted   map[string]want
 	passing  *lease.Passing
@@ -74,7 +76,7 @@
 }
 
 func newDesk() desk {
-	return desk{clients: map[uint64]*client{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, wanted: map[string]want{},
+	return desk{clients: map[uint64]*client{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, standing: map[string]int{}, wanted: map[string]want{},
 		passing: lease.NewPassing(), readAs: map[uint64]uint16{}}
 }
 
@@ -245,7 +247,8 @@
 	if duration, _ := k.rec.Terms(); c.since == 0 || k.now-c.since <= duration {
 		c.heard = max(c.heard, w.at)
 	}
-	c.stands, c.wants = b.Stands, b.Wants
+	k.stand(c, b.Stands)
+	c.wants = b.Wants
 	for _, x := range b.Wants {
 		k.wanted[x.Work] = want{x.Zone, k.now}
 	}
@@ -253,13 +256,27 @@
 		k.show(s.ID, c)
 	}
 	c.held, c.until = &w, w.at+k.cfg.Hold
-	k.assign()
+	k.assignSoon()
 	if len(c.box) > 0 {
 		c.until = math.Min(c.until, k.now+gather)
 	}
 	k.look(s.ID, c)
 }
 
+// stand notes the kinds of work that a session would own.
+func (k *Keeper) stand(c *client, kinds []string) {
+	if slices.Equal(c.stands, kinds) {
+		return
+	}
+	for _, kind := range c.stands {
+		k.standing[kind]--
+	}
+	for _, kind := range kinds {
+		k.standing[kind]++
+	}
+	c.stands = kinds
+}
+
 // open a session for who proves that it is there now: a beat that was held on its way for long, of a process that has died since,
 // must not supersede the one that has its name.
 func (k *Keeper) open(w waiting) {
@@ -365,6 +382,7 @@
 		if c.held != nil {
 			k.answer(c.held.request, nil, ErrSession)
 		}
+		k.stand(c, nil)
 		delete(k.clients, id)
 		k.log("session %d: %q has ended", id, c.name)
 	})
--- a/fleet/coordinator/keeping_test.go
+++ b/fleet/coordinator/keeping_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log"
+	"runtime"
 	"testing"
 
 	"dunereach/fleet/registry"
@@ -196,3 +197,43 @@
 		t.Errorf("all read version 2: %v", err)
 	}
 }
+
+// TestHeartbeatsGrowLinearly: what a heartbeat costs does not grow with the sessions, also while a task is wanted that nobody can
+// own, as the operators' words are.
+func TestHeartbeatsGrowLinearly(t *testing.T) {
+	perHeartbeat := func(sessions int) float64 {
+		l := newLone(t)
+		l.run(5)
+		all := make([]Beat, sessions)
+		for n := range all {
+			all[n] = Beat{Name: fmt.Sprint("n", n), Incarnation: 1, Stands: []string{"plan"}, Wants: []Want{{Work: "words/zones"}}}
+		}
+		heartbeats := func() {
+			first := l.request + 1
+			for n := range all {
+				l.request++
+				l.k.Beat(l.now, l.request, &all[n])
+			}
+			l.run(0.6) // longer than they are held
+			for n := range all {
+				v, ok := l.answers[first+uint64(n)].Value.(View)
+				if !ok {
+					t.Fatalf("heartbeat %d: %v", n, l.answers[first+uint64(n)].Err)
+				}
+				all[n].Session, all[n].Got = v.Session, v.Number
+			}
+		}
+		heartbeats() // each is asked whether it is there
+		heartbeats()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		heartbeats()
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc-before.TotalAlloc) / float64(sessions)
+	}
+	few, many := perHeartbeat(100), perHeartbeat(1600)
+	t.Logf("%.0f and %.0f bytes a heartbeat", few, many)
+	if many > 3*few {
+		t.Errorf("a heartbeat allocates %.0f bytes with 100 sessions and %.0f with 1600", few, many)
+	}
+}
--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -18,11 +18,23 @@
 	return slices.ContainsFunc(c.wants, func(x Want) bool { return x.Work == name })
 }
 
+// manySessions is the size of a fleet from which on free works are looked at once in TickEvery: looking at each heartbeat costs the
+// square of the sessions.
+const manySessions = 300
+
+// assignSoon is assign, in a large fleet by the next tick.
+func (k *Keeper) assignSoon() {
+	if len(k.clients) < manySessions || k.now >= k.assigned+TickEvery {
+		k.assign()
+	}
+}
+
 // assign has free works that are wanted owned by somebody.
 func (k *Keeper) assign() {
 	if !k.Leads() {
 		return
 	}
+	k.assigned = k.now
 	const keepAs = 3.0 // seconds that a want counts without being said again
 	duration, _ := k.rec.Terms()
 	var all []lease.Candidate
@@ -32,6 +44,10 @@
 		if at := k.rec.Work(name); at != nil && at.Owner != 0 || k.assigns[name] || k.now-w.at > keepAs {
 			continue
 		}
+		kind, _, _ := strings.Cut(name, "/")
+		if k.standing[kind] == 0 { // as of the operators' words, which nobody owns
+			continue
+		}
 		if all == nil {
 			owns := map[uint64]int{}
 			for _, x := range k.rec.Works() {
@@ -45,7 +61,6 @@
 				}
 			}
 		}
-		kind, _, _ := strings.Cut(name, "/")
 		var able []lease.Candidate
 		for _, c := range all { // one that has no use for it would let go of it at once
 			if slices.Contains(stands[c.Session], kind) && k.clients[c.Session].wantsWork(name) {
@@ -86,7 +101,7 @@
 
 // news has every session looked at again.
 func (k *Keeper) news() {
-	k.assign()
+	k.assignSoon()
 	for _, id := range k.ids() {
 		if c := k.clients[id]; c.held != nil {
 			k.look(id, c)
--- a/fleet/registry/record.go
+++ b/fleet/registry/record.go
@@ -107,7 +107,8 @@
 // Record is the state after some entries.
 type Record struct {
 	s      state
-	byName map[string]uint64 // session that counts
+	byName map[string]uint64           // session that counts
+	owned  map[uint64]map[string]*Work // by owner, so that looking at one session does not look at all tasks
 }
 
 // New is a record before its first entry.
@@ -136,7 +137,10 @@
 func (r *Record) Terms() (lease, drift float64) { return r.s.Lease, r.s.Drift }
 
 func (r *Record) index() {
-	r.byName = map[string]uint64{}
+	r.byName, r.owned = map[string]uint64{}, map[uint64]map[string]*Work{}
+	for _, w := range r.s.Works {
+		r.own(w, w.Owner)
+	}
 	for id, s := range r.s.Sessions {
 		if !s.Superseded {
 			r.byName[s.Name] = id
@@ -144,6 +148,22 @@
 	}
 }
 
+// own gives a work that owner, 0: it is free.
+func (r *Record) own(w *Work, owner uint64) {
+	delete(r.owned[w.Owner], w.Name)
+	if len(r.owned[w.Owner]) == 0 {
+		delete(r.owned, w.Owner)
+	}
+	w.Owner = owner
+	if owner == 0 {
+		return
+	}
+	if r.owned[owner] == nil {
+		r.owned[owner] = map[string]*Work{}
+	}
+	r.owned[owner][w.Name] = w
+}
+
 // Index of the last entry.
 func (r *Record) Index() uint64 { return r.s.Index }
 
@@ -179,10 +199,8 @@
 
 // Owned is the works of a session, by name.
 func (r *Record) Owned(session uint64) (all []*Work) {
-	for _, w := range r.s.Works {
-		if w.Owner == session {
-			all = append(all, w)
-		}
+	for _, w := range r.owned[session] {
+		all = append(all, w)
 	}
 	if len(all) > 1 {
 		slices.SortFunc(all, func(a, b *Work) int { return cmp.Compare(a.Name, b.Name) })
@@ -310,10 +328,9 @@
 		delete(r.byName, s.Name)
 	}
 	delete(r.s.Sessions, id)
-	for _, w := range r.s.Works {
-		if w.Owner == id {
-			w.Owner, w.Asked = 0, false
-		}
+	for _, w := range r.owned[id] {
+		r.own(w, 0)
+		w.Asked = false
 	}
 	return nil
 }
@@ -330,7 +347,8 @@
 	if err != nil {
 		return 0, err
 	}
-	w.Owner, w.Zone, w.Asked = e.Session, e.Zone, false
+	r.own(w, e.Session)
+	w.Zone, w.Asked = e.Zone, false
 	return w.Fence, nil
 }
 
@@ -359,7 +377,8 @@
 	case w.Owner != e.Session || w.Fence != e.Fence:
 		return ErrFence
 	}
-	w.Owner, w.Asked = 0, false
+	r.own(w, 0)
+	w.Asked = false
 	return nil
 }
 
--- a/fleet/registry/record_test.go
+++ b/fleet/registry/record_test.go
@@ -50,7 +50,19 @@
 					t.Fatalf("%q was session %d's", e.Work, owner[e.Work])
 				}
 			}
+			owned := 0
+			for _, s := range a.Sessions() {
+				for _, w := range a.Owned(s.ID) {
+					owned++
+					if w.Owner != s.ID || a.Work(w.Name) != w {
+						t.Fatalf("%q is listed as session %d's: %+v", w.Name, s.ID, w)
+					}
+				}
+			}
 			for _, w := range a.Works() {
+				if w.Owner != 0 {
+					owned--
+				}
 				if w.Owner != 0 && a.Session(w.Owner) == nil {
 					t.Fatalf("%q is owned by no session", w.Name)
 				}
@@ -67,6 +79,14 @@
 					t.Fatal(err)
 				}
 			}
+			if owned != 0 {
+				t.Fatalf("%d tasks more have owners than owners have tasks", -owned)
+			}
+			for _, s := range a.Sessions() {
+				if x, y := a.Owned(s.ID), b.Owned(s.ID); len(x) != len(y) {
+					t.Fatalf("session %d owns %d tasks, %d over snapshots", s.ID, len(x), len(y))
+				}
+			}
 			x, _ := a.Snapshot()
 			y, _ := b.Snapshot()
 			if !bytes.Equal(x, y) {
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -127,7 +127,14 @@
 	if _, err := f.StartRouters(numbers(from+1, to)); err != nil {
 		return hollow.Recovery{}, err
 	}
-	return f.recover(began, plannedTasks)
+	r, err := f.recover(began, plannedTasks)
+	progress("%d routers: the last session was open after %.1f s, control whole after %.1f s", to, r.Confirmed, r.Settled)
+	return r, err
+}
+
+// progress tells whoever waits how far a run has come.
+func progress(format string, values ...any) {
+	fmt.Fprintf(os.Stderr, "%s "+format+"\n", append([]any{time.Now().Format(time.TimeOnly)}, values...)...)
 }
 
 // recover waits until control is whole again for all routers that run.
@@ -180,6 +187,7 @@
 	if err != nil {
 		return w, err
 	}
+	progress("measured %d routers over %.1f s", routers, took)
 	w.coordinators(usage0.Coordinators, usage1.Coordinators, took)
 	n := float64(routers)
 	w.routerCore = (usage1.Routers.Core - usage0.Routers.Core) / took / n
--- a/internal/scale/control_return.go
+++ b/internal/scale/control_return.go
@@ -32,6 +32,7 @@
 		return fault{}, fmt.Errorf("%s: %w", name, err)
 	}
 	recovery, err := f.recover(began, faultTasks)
+	progress("%s: whole after %.1f s", name, recovery.Settled)
 	if err != nil {
 		return fault{}, fmt.Errorf("%s: %w", name, err)
 	}
