--- a/fleet/coordinator/keeping_test.go
+++ b/fleet/coordinator/keeping_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log"
+	"runtime"
 	"testing"
 
 	"dunereach/fleet/registry"
@@ -164,3 +166,74 @@
 		t.Errorf("the living process's session: %+v", s)
 	}
 }
+
+// TestOlderCoordinator: while a coordinator of the last version takes part, what is agreed keeps that one's bounds; once it reads the
+// new version, the larger fleet has room.
+func TestOlderCoordinator(t *testing.T) {
+	l := newLone(t)
+	l.run(5)
+	propose := func(e registry.Entry) (err error) {
+		err = errors.New("not agreed")
+		l.k.propose(e, func(_ uint64, why error) { err = why })
+		l.carry()
+		return err
+	}
+	if err := propose(registry.Entry{Kind: registry.Keep, Keeper: 2, Name: "k2", Reads: 1}); err != nil {
+		t.Fatal(err)
+	}
+	const room = 1024 // of version 1
+	for n := range room {
+		if err := propose(registry.Entry{Kind: registry.Open, Name: fmt.Sprint("n", n), Incarnation: 1}); err != nil {
+			t.Fatalf("session %d: %v", n, err)
+		}
+	}
+	more := registry.Entry{Kind: registry.Open, Name: "more", Incarnation: 1}
+	if err := propose(more); !errors.Is(err, registry.ErrFull) {
+		t.Fatalf("with a coordinator of version 1: %v", err)
+	}
+	l.k.Version(2, 2)
+	l.carry()
+	if err := propose(more); err != nil {
+		t.Errorf("all read version 2: %v", err)
+	}
+}
+
+// TestHeartbeatsGrowLinearly: what a heartbeat costs does not grow with the sessions, also while a task is wanted that nobody can
+// own, as the operators' words are.
+func TestHeartbeatsGrowLinearly(t *testing.T) {
+	perHeartbeat := func(sessions int) float64 {
+		l := newLone(t)
+		l.run(5)
+		all := make([]Beat, sessions)
+		for n := range all {
+			all[n] = Beat{Name: fmt.Sprint("n", n), Incarnation: 1, Stands: []string{"plan"}, Wants: []Want{{Work: "words/zones"}}}
+		}
+		heartbeats := func() {
+			first := l.request + 1
+			for n := range all {
+				l.request++
+				l.k.Beat(l.now, l.request, &all[n])
+			}
+			l.run(0.6) // longer than they are held
+			for n := range all {
+				v, ok := l.answers[first+uint64(n)].Value.(View)
+				if !ok {
+					t.Fatalf("heartbeat %d: %v", n, l.answers[first+uint64(n)].Err)
+				}
+				all[n].Session, all[n].Got = v.Session, v.Number
+			}
+		}
+		heartbeats() // each is asked whether it is there
+		heartbeats()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		heartbeats()
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc-before.TotalAlloc) / float64(sessions)
+	}
+	few, many := perHeartbeat(100), perHeartbeat(1600)
+	t.Logf("%.0f and %.0f bytes a heartbeat", few, many)
+	if many > 3*few {
+		t.Errorf("a heartbeat allocates %.0f bytes with 100 sessions and %.0f with 1600", few, many)
+	}
+}
--- a/fleet/registry/record.go
+++ b/fleet/registry/record.go
@@ -11,14 +11,52 @@
 	"slices"
 )
 
-// Bounds on what a record holds. Three times the largest fleet that was measured (300 routers, 36 engines, each of which may
-// have a work for its warmth and one for its trials, and some for tenants).
+// The fleet that a record is bounded for: 1,600 routers before 3,900 databases, and about a quarter of each beside.
 const (
-	MostSessions = 1024
-	MostWorks    = 1024
-	MostKeepers  = 9    // raft with more is slow to agree and no safer
-	MostName     = 120  // bytes
-	MostNote     = 2048 // bytes that an owner puts down
+	MostRouters   = 2048
+	MostDatabases = 4096
+)
+
+// Bounds on what a record holds.
+const (
+	// MostSessions has room for all routers twice: where all of them restart at once, the session of each old process lasts
+	// until its lease is over.
+	MostSessions = 2 * MostRouters
+	// MostWorks has room for two tasks of each database: its warm-up and its probes. Tasks of tenants and the plan take what
+	// the databases leave, as all of them are cold and suspected at no time.
+	MostWorks   = 2 * MostDatabases
+	MostKeepers = 9    // raft with more is slow to agree and no safer
+	MostName    = 120  // bytes
+	MostNote    = 2048 // bytes that an owner puts down
+)
+
+// Bounds that entries of version 1 are held to, which older coordinators apply: as long as one of those takes part, all of
+// them refuse alike.
+const (
+	mostSessionsVersion1 = 1024
+	mostWorksVersion1    = 1024
+)
+
+// mostSessions and mostWorks are the bounds that an entry of that version is held to.
+func mostSessions(version uint16) int {
+	if version < 2 {
+		return mostSessionsVersion1
+	}
+	return MostSessions
+}
+
+func mostWorks(version uint16) int {
+	if version < 2 {
+		return mostWorksVersion1
+	}
+	return MostWorks
+}
+
+// MostSnapshot is what the snapshot of a full record takes at most, in bytes: names and notes at their bounds, and some bytes
+// a field beside them.
+const (
+	mostFields   = 64 // bytes of the numbers and keys of one session or task
+	MostSnapshot = MostSessions*(3*MostName+mostFields) + MostWorks*(3*MostName+MostNote+mostFields) + 1<<16
 )
 
 // Session is one process that takes part. A name has one that counts: an older one of the same name is superseded, and its
@@ -69,7 +107,8 @@
 // Record is the state after some entries.
 type Record struct {
 	s      state
-	byName map[string]uint64 // session that counts
+	byName map[string]uint64           // session that counts
+	owned  map[uint64]map[string]*Work // by owner, so that looking at one session does not look at all tasks
 }
 
 // New is a record before its first entry.
@@ -98,7 +137,10 @@
 func (r *Record) Terms() (lease, drift float64) { return r.s.Lease, r.s.Drift }
 
 func (r *Record) index() {
-	r.byName = map[string]uint64{}
+	r.byName, r.owned = map[string]uint64{}, map[uint64]map[string]*Work{}
+	for _, w := range r.s.Works {
+		r.own(w, w.Owner)
+	}
 	for id, s := range r.s.Sessions {
 		if !s.Superseded {
 			r.byName[s.Name] = id
@@ -106,6 +148,22 @@
 	}
 }
 
+// own gives a work that owner, 0: it is free.
+func (r *Record) own(w *Work, owner uint64) {
+	delete(r.owned[w.Owner], w.Name)
+	if len(r.owned[w.Owner]) == 0 {
+		delete(r.owned, w.Owner)
+	}
+	w.Owner = owner
+	if owner == 0 {
+		return
+	}
+	if r.owned[owner] == nil {
+		r.owned[owner] = map[string]*Work{}
+	}
+	r.owned[owner][w.Name] = w
+}
+
 // Index of the last entry.
 func (r *Record) Index() uint64 { return r.s.Index }
 
@@ -141,10 +199,8 @@
 
 // Owned is the works of a session, by name.
 func (r *Record) Owned(session uint64) (all []*Work) {
-	for _, w := range r.s.Works {
-		if w.Owner == session {
-			all = append(all, w)
-		}
+	for _, w := range r.owned[session] {
+		all = append(all, w)
 	}
 	if len(all) > 1 {
 		slices.SortFunc(all, func(a, b *Work) int { return cmp.Compare(a.Name, b.Name) })
@@ -237,7 +293,7 @@
 	case Floor:
 		r.s.Fence = max(r.s.Fence, e.Fence)
 	case Say:
-		w, err := r.free(e.Work)
+		w, err := r.free(e.Version, e.Work)
 		if err != nil {
 			return 0, err
 		}
@@ -252,7 +308,7 @@
 	if old != nil && old.Incarnation == e.Incarnation {
 		return nil // asked twice: the session that there is
 	}
-	if len(r.s.Sessions) >= MostSessions {
+	if len(r.s.Sessions) >= mostSessions(e.Version) {
 		return ErrFull
 	}
 	if old != nil {
@@ -272,10 +328,9 @@
 		delete(r.byName, s.Name)
 	}
 	delete(r.s.Sessions, id)
-	for _, w := range r.s.Works {
-		if w.Owner == id {
-			w.Owner, w.Asked = 0, false
-		}
+	for _, w := range r.owned[id] {
+		r.own(w, 0)
+		w.Asked = false
 	}
 	return nil
 }
@@ -288,21 +343,22 @@
 	case s.Superseded:
 		return 0, ErrSuperseded
 	}
-	w, err := r.free(e.Work)
+	w, err := r.free(e.Version, e.Work)
 	if err != nil {
 		return 0, err
 	}
-	w.Owner, w.Zone, w.Asked = e.Session, e.Zone, false
+	r.own(w, e.Session)
+	w.Zone, w.Asked = e.Zone, false
 	return w.Fence, nil
 }
 
 // free is a work that nobody owns, under a fence of its own: the next of the one number for all works.
-func (r *Record) free(name string) (*Work, error) {
+func (r *Record) free(version uint16, name string) (*Work, error) {
 	w := r.s.Works[name]
 	switch {
 	case w != nil && w.Owner != 0:
 		return nil, ErrOwned
-	case w == nil && len(r.s.Works) >= MostWorks:
+	case w == nil && len(r.s.Works) >= mostWorks(version):
 		return nil, ErrFull
 	case w == nil:
 		w = &Work{Name: name}
@@ -321,7 +377,8 @@
 	case w.Owner != e.Session || w.Fence != e.Fence:
 		return ErrFence
 	}
-	w.Owner, w.Asked = 0, false
+	r.own(w, 0)
+	w.Asked = false
 	return nil
 }
 
--- /dev/null
+++ b/internal/scale/fit_rows.go
@@ -0,0 +1,43 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+
+	"dunereach/internal/measure"
+)
+
+// lineThrough fits a line through values at sizes. Two points, as short forms have them, or points at one size make no fit: the
+// line then goes through the first and the last, and its errors are not a number.
+func lineThrough(sizes, values []float64) Fit {
+	points := make([]Point, len(sizes))
+	for k := range sizes {
+		points[k] = Point{Size: sizes[k], Cost: values[k]}
+	}
+	if line, err := FitLine(points); err == nil {
+		return line
+	}
+	first, last := points[0], points[len(points)-1]
+	line := Fit{SlopeError: math.NaN(), InterceptError: math.NaN(), Residual: math.NaN(), Points: len(points)}
+	line.From, line.To = min(first.Size, last.Size), max(first.Size, last.Size)
+	line.Slope = (last.Cost - first.Cost) / (last.Size - first.Size)
+	line.Intercept = first.Cost - line.Slope*first.Size
+	return line
+}
+
+// Rows print a fit: the slope by so many of the unit of size, its standard error, and the intercept.
+func (f Fit) Rows(name, unit string, per float64) []measure.Row {
+	return []measure.Row{
+		measure.Figure(fmt.Sprintf("%s: slope, each %.0f %s (%.0f to %.0f measured)", name, per, unit, f.From, f.To), f.Slope*per),
+		measure.Figure(name+": standard error of the slope", f.SlopeError*per),
+		measure.Figure(name+": intercept", f.Intercept),
+	}
+}
+
+// bounded is a row with that upper bound; NaN: none.
+func bounded(name string, value, bound float64) measure.Row {
+	if math.IsNaN(bound) {
+		return measure.Figure(name, value)
+	}
+	return measure.AtMost(name, value, bound)
+}
