A router can talk to a subset of the databases: section subset

Cause: fleet/subset chooses, nothing used it.

Change: internal/router/subset.go hands the module and the connections the subset, widens it while too few of it can be used, and lets go of what left it after a grace and at a bounded rate. A cold database does not leave, since its allowance would begin anew on a return. admission: the equal share of an engine follows the part of the pool that is held (one line of brain.go calls it in place of the division), and tenants' quotas and reports to the plan stay shares of the whole. Without the section, or with a pool no larger than the subset, the list is handed on as it came and the shares are the same numbers.

--- a/admission/brain.go
+++ b/admission/brain.go
@@ -849,7 +849,7 @@
 		b.message = b.pack(b.message)
 		b.host.Tell(-1, b.message)
 	}
-	b.share = 1 / float64(len(b.heard))
+	b.share = b.equalShare()
 	// A router that can't ask all engines in time takes the average of a few for the rest, while that is low: it
 	// lags, and all would fill what it shows free.
 	if gone, met := b.sumUp(b.now, fresh, lately, b.dense, low); met {
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -46,7 +46,7 @@
 			return part
 		}
 	}
-	return b.share
+	return b.ofPool(b.share)
 }
 
 func (b *Brain) trialAt(e *engine) float64 {
@@ -145,5 +145,9 @@
 			r.Sights[e.Zone].Drains += e.cores
 		}
 	}
+	for z := range r.Sights { // of the whole pool, where only some of it is held
+		s, part := &r.Sights[z], b.heldOf(z)
+		s.Ready, s.Cold, s.Doubt, s.Drains = s.Ready/part, s.Cold/part, s.Doubt/part, s.Drains/part
+	}
 	return r
 }
--- a/admission/slab.go
+++ b/admission/slab.go
@@ -211,6 +211,7 @@
 	engines []engine
 	index   map[uint32]int32
 	heard   []float64 // when each router last told its load
+	held    Held      // what part of the pool the engines are
 }
 
 func newPool(routers int) pool {
--- a/fleet/subset/score.go
+++ b/fleet/subset/score.go
@@ -89,3 +89,6 @@
 
 // unit maps 64 bits to [0, 1).
 func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
+
+// Spread is a router's own number in [0, 1), by which routers do at different times what they would else do at once.
+func Spread(router string) float64 { return unit(hashOf(router)) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -65,6 +65,9 @@
 	if c.Budgets, err = c.Operator.Spec(c.Settings.Tenants); err == nil {
 		err = c.Operator.Fleet.Check()
 	}
+	if err == nil {
+		err = c.Operator.CheckSubset(c.Settings.Zones)
+	}
 	if err != nil {
 		return c, fmt.Errorf("operators' file %s: %v", operatorFile, err)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,7 @@
 	Waits   *Waits   `json:"waits,omitempty" jsonschema:"description=What clients are told of waits."`
 	Fleet   *Fleet   `json:"fleet,omitempty" jsonschema:"description=Work that one router does on behalf of all, agreed through keepers (dunekeep). Absent: none."`
 	State   *State   `json:"state,omitempty" jsonschema:"description=Where this router keeps what it has learned for the process that comes after it. Absent: nowhere."`
+	Subset  *Subset  `json:"subset,omitempty" jsonschema:"description=How many databases this router talks to, where the pool has more. Absent: all."`
 	Expect  *Expect  `json:"expect,omitempty" jsonschema:"description=Whether a new configuration must hold its expectations."`
 }
 
--- /dev/null
+++ b/internal/operator/subset.go
@@ -0,0 +1,130 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+
+	"dunereach/fleet/subset"
+)
+
+// Subset is how a router chooses the databases that it talks to. All routers should name the same, but for place and share.
+type Subset struct {
+	Size    int                 `json:"size" jsonschema:"minimum=1,maximum=65536,description=Databases that a router with the mean traffic talks to. A pool that is no larger is used whole."`
+	Room    *float64            `json:"room,omitempty" jsonschema:"minimum=0,maximum=1,description=Part of the size that a subset may be larger by so that databases are held by equally many routers. Absent: 0.5."`
+	Widest  int                 `json:"widest,omitempty" jsonschema:"enum=1,enum=2,enum=4,enum=8,enum=16,enum=32,enum=64,description=How many times as large the subset of a router may become while too few of its databases can be used. Absent: 4."`
+	Near    *float64            `json:"near,omitempty" jsonschema:"minimum=0,maximum=0.9,description=Part of a subset that is for the router's zone before the rest is dealt out over all zones. Absent: 0.5."`
+	Region  *float64            `json:"region,omitempty" jsonschema:"minimum=0,maximum=0.9,description=Part that is likewise for the router's region. Absent: 0.2 where regions are named and else 0."`
+	Least   *int                `json:"least,omitempty" jsonschema:"minimum=0,maximum=64,description=Databases of each kind and of each profile's zones and kinds and beyond the router's zone and region that a subset has at least. Absent: 2."`
+	Place   *int                `json:"place,omitempty" jsonschema:"minimum=0,maximum=1048576,description=This router's number among all of them: unique and best counted zone by zone. Absent: the list of routers says or the settings do."`
+	Share   float64             `json:"share,omitempty" jsonschema:"minimum=0,maximum=64,description=This router's traffic by that of the mean router. Absent: 1."`
+	Regions map[string][]string `json:"regions,omitempty" jsonschema:"description=Zones of the settings by region. Absent: those of the section fleet."`
+	Routers []SubsetRouter      `json:"routers,omitempty" jsonschema:"maxItems=65536,description=All routers as far as they are known: what dunereach fleet subset tells of a database is for these. A router finds its place and share here by its name."`
+}
+
+// SubsetRouter is one router of the list.
+type SubsetRouter struct {
+	Name  string  `json:"name" jsonschema:"minLength=1,maxLength=120,description=As the router's own configuration has it."`
+	Zone  string  `json:"zone" jsonschema:"minLength=1,maxLength=120,description=One of the settings' zones."`
+	Place *int    `json:"place,omitempty" jsonschema:"minimum=0,maximum=1048576,description=Its number. Absent: its position in this list."`
+	Share float64 `json:"share,omitempty" jsonschema:"minimum=0,maximum=64,description=Its traffic by that of the mean router. Absent: 1."`
+}
+
+// What stands where the section is silent.
+const (
+	standardRoom   = 0.5
+	standardWidest = 4
+	standardNear   = 0.5
+	standardRegion = 0.2
+	standardLeast  = 2
+)
+
+func valueOr[T any](p *T, standard T) T {
+	if p == nil {
+		return standard
+	}
+	return *p
+}
+
+// PlaceOf is the place of the router at a position of the list.
+func (s *Subset) PlaceOf(position int) int { return valueOr(s.Routers[position].Place, position) }
+
+// Find gives the position of a router in the list, -1 where it is not there.
+func (s *Subset) Find(name string) int {
+	return slices.IndexFunc(s.Routers, func(r SubsetRouter) bool { return r.Name == name })
+}
+
+// LeastOf is the minimum that every need has.
+func (s *Subset) LeastOf() int { return valueOr(s.Least, standardLeast) }
+
+// RegionsOf gives the region of each zone, numbered in the order of zones; nil: no regions are named.
+func (f *File) RegionsOf(zones []string) []int {
+	regions := f.Subset.Regions
+	if regions == nil && f.Fleet != nil {
+		regions = f.Fleet.Regions
+	}
+	if len(regions) == 0 {
+		return nil
+	}
+	numbers := map[string]int{}
+	of := make([]int, len(zones))
+	for z, name := range zones {
+		region := ""
+		for k, zones := range regions {
+			if slices.Contains(zones, name) {
+				region = k
+			}
+		}
+		if _, known := numbers[region]; !known {
+			numbers[region] = len(numbers)
+		}
+		of[z] = numbers[region]
+	}
+	return of
+}
+
+// SubsetOptions are the options of a router in a zone, whose region is of that many zones; needs are the caller's.
+func (f *File) SubsetOptions(zones, regionZones int) subset.Options {
+	s := f.Subset
+	o := subset.Options{Size: s.Size, Room: valueOr(s.Room, standardRoom), Widest: s.Widest, Near: valueOr(s.Near, standardNear),
+		Zones: zones, RegionZones: regionZones}
+	if o.Widest == 0 {
+		o.Widest = standardWidest
+	}
+	if regionZones > 0 && regionZones < zones {
+		o.Region = valueOr(s.Region, min(standardRegion, max(subset.MostNear-o.Near, 0)))
+	}
+	return o
+}
+
+// CheckSubset tells what the schema can't.
+func (f *File) CheckSubset(zones []string) error {
+	s := f.Subset
+	if s == nil {
+		return nil
+	}
+	for region, names := range s.Regions {
+		for k, name := range names {
+			if !slices.Contains(zones, name) {
+				return fmt.Errorf("/subset/regions/%s/%d: %q is no zone of the settings", region, k, name)
+			}
+		}
+	}
+	o := f.SubsetOptions(len(zones), min(1, len(zones)))
+	if err := o.Check(); err != nil {
+		return fmt.Errorf("/subset/%v", err)
+	}
+	names, places := map[string]int{}, map[int]int{}
+	for k, r := range s.Routers {
+		if first, twice := names[r.Name]; twice {
+			return fmt.Errorf("/subset/routers/%d/name: %q is the name of router %d of the list too", k, r.Name, first)
+		}
+		if first, twice := places[s.PlaceOf(k)]; twice {
+			return fmt.Errorf("/subset/routers/%d/place: %d is the place of %q too", k, s.PlaceOf(k), s.Routers[first].Name)
+		}
+		if !slices.Contains(zones, r.Zone) {
+			return fmt.Errorf("/subset/routers/%d/zone: %q is no zone of the settings", k, r.Zone)
+		}
+		names[r.Name], places[s.PlaceOf(k)] = k, k
+	}
+	return nil
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -67,12 +67,13 @@
 	sessions map[*frontend.Session]struct{}
 	scratch  []byte // answers are put together here
 	ticks    int
-	tidied   int     // seconds
-	waits    bool    // the last question has no answer yet
-	heardAt  float64 // the name server's last answer
-	deaf     bool    // it is missing, and the log says so
-	fleet    Fleet   // nil: none
-	state    State   // nil: none
+	tidied   int         // seconds
+	waits    bool        // the last question has no answer yet
+	heardAt  float64     // the name server's last answer
+	deaf     bool        // it is missing, and the log says so
+	fleet    Fleet       // nil: none
+	state    State       // nil: none
+	subset   *subsetView // nil: the module sees the whole list
 }
 
 // datagram is what came from a name server, and on which socket.
@@ -114,6 +115,9 @@
 		}
 		s.Teams(teams, cfg.Budgets.Ageing)
 	}
+	if s.subset, err = newSubsetView(&cfg, s.list.Name, log); err != nil {
+		return err
+	}
 	if w := cfg.Operator.Waits; w != nil {
 		s.Waits(waittime.New(len(cfg.Settings.Profiles), cfg.Settings.Brain.MaxPause), w.Fields)
 	}
@@ -283,6 +287,9 @@
 	if !reflect.DeepEqual(is.State, was.State) {
 		kept = append(kept, "state")
 	}
+	if !reflect.DeepEqual(is.Subset, was.Subset) {
+		kept = append(kept, "subset")
+	}
 	if (is.Waits == nil) != (was.Waits == nil) {
 		kept = append(kept, "waits")
 	} else if is.Waits != nil {
@@ -356,6 +363,7 @@
 			if s.state != nil {
 				s.state.Tick(s.clock.now(), s.Router)
 			}
+			s.reviewSubset()
 			s.pool.Unstick()
 			s.pool.Settle()
 			for c := range s.sessions {
@@ -503,8 +511,3 @@
 		s.members(admission.Full)
 	}
 }
-
-func (s *service) members(scope admission.Scope) {
-	s.serial = s.list.Rev()
-	s.Members(s.clock.now(), scope, s.list.List(), func() { s.pool.Members(s.list.List(), s.list.Addr) })
-}
