--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -41,6 +41,15 @@
 		{"memory", `"memory_mb": 192`, `"memory_mb": -1`, "", "/limits/memory_mb: -1 is negative"},
 		{"a key that is none", "", "", `{"budget":{}}`, "/: unknown key 'budget'"},
 		{"a weight", "", "", `{"teams":[{"name":"a","weight":0}],"budgets":{"default":"a"}}`, "/teams/0/weight: 0 is not over 0"},
+		{"a subset of nothing", "", "", `{"subset":{"size":0}}`, "/subset/size: 0 is"},
+		{"a subset without a size", "", "", `{"subset":{}}`, "/subset: "},
+		{"two routers of a name", "", "", `{"subset":{"size":8,"routers":[{"name":"a","zone":"hall"},{"name":"a","zone":"hall"}]}}`,
+			`/subset/routers/1/name: "a" is the name of router 0 of the list too`},
+		{"two routers of a place", "", "", `{"subset":{"size":8,"routers":[{"name":"a","zone":"hall"},{"name":"b","zone":"hall","place":0}]}}`,
+			`/subset/routers/1/place: 0 is the place of "a" too`},
+		{"a router in no zone", "", "", `{"subset":{"size":8,"routers":[{"name":"a","zone":"loft"}]}}`, `/subset/routers/0/zone: "loft" is no zone`},
+		{"nearness beyond what is safe", "", "", `{"subset":{"size":8,"near":0.6,"region":0.5,"regions":{"x":["hall"]}}}`, "/subset/near: 0.6"},
+		{"a region of no zone", "", "", `{"subset":{"size":8,"regions":{"x":["loft"]}}}`, `/subset/regions/x/0: "loft" is no zone`},
 		{"no JSON", "", "", `{"teams":`, "line 1, column 9: unexpected end of JSON input"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/cmd/dunereach/subset_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"slices"
+	"testing"
+
+	"dunereach/internal/fake"
+)
+
+// TestSubset: a router with a subset sends to the databases of it alone, and to more of them once those can't be reached.
+func TestSubset(t *testing.T) {
+	w := plan(t, 6, 1024)
+	w.operators(`{"subset":{"size":2,"room":0,"least":0}}`)
+	w.start()
+	c := fake.NewClient(t, w.addr)
+	var held []*fake.Engine
+	const open = 8 // at once, so that they spread over all that there are
+	var running []fake.Said
+	for range open {
+		w.call(c, "lookup", 30000, "SELECT 1")
+	}
+	for range open {
+		s := w.hear("fetch")
+		if running = append(running, s); !slices.Contains(held, s.Engine) {
+			held = append(held, s.Engine)
+		}
+	}
+	if len(held) != 2 {
+		t.Fatalf("%d databases were sent something, the subset is of 2", len(held))
+	}
+	for _, s := range running {
+		s.Answer("served", "count=1", "x\t\t\n")
+		c.Next()
+	}
+
+	w.cmd.Process.Kill()
+	for range w.log { // to its end
+	}
+	for _, e := range held {
+		e.Close()
+	}
+	w.start() // under the same name it has the same subset
+	c = fake.NewClient(t, w.addr)
+	for range 6 {
+		if s := w.serve(c, "order"); slices.Contains(held, s.Engine) {
+			t.Error("a database that is not there was sent something")
+		}
+	}
+}
