--- a/internal/agentdriver/words.go
+++ b/internal/agentdriver/words.go
@@ -90,6 +90,7 @@
 		}
 	})
 	planWords(root, &asJSON, client)
+	root.AddCommand(subsetWord(&asJSON))
 	root.AddCommand(&cobra.Command{Use: "status", Short: "Print each keeper's own word, and how many take part", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			k, ctx, cancel, err := client(c)
--- a/internal/subsets/subsets.go
+++ b/internal/subsets/subsets.go
@@ -84,6 +84,19 @@
 	return Chooser{o, r}
 }
 
+// Choose takes a subset as a router does whose sizes are evened out by this very pool.
+func (c *Chooser) Choose(pool *subset.Pool, width int) (subset.Choice, error) {
+	ranking, err := pool.Rank(&c.Options, c.Router)
+	if err != nil {
+		return subset.Choice{}, err
+	}
+	c.Router.Planned = ranking.Effective()
+	if ranking, err = pool.Rank(&c.Options, c.Router); err != nil {
+		return subset.Choice{}, err
+	}
+	return ranking.Take(width), nil
+}
+
 // Databases are the entries of a list, by their names.
 func (s *Setup) Databases(list []admission.Entry, nameOf func(engine uint32) string) []subset.Database {
 	all := make([]subset.Database, len(list))
