jobs, jobrunner: scheduler, priority, interval, timeout, retry delay by their names

Plan is Scheduler, Terms Limits, Used Usage; Ask, Late, Cancel, End, Over and Fails are Request, ObserveLateness, Expired, Shutdown, Finished and Failures; the fields follow, as do jobrunner's. No behaviour changes.

--- a/internal/jobrunner/background_test.go
+++ b/internal/jobrunner/runner_test.go
@@ -16,7 +16,7 @@
 		err   error
 	}
 	failed := make(chan word, 10)
-	r := New(jobs.Terms{}, func(_ string, n int, err error) { failed <- word{n, err} })
+	r := New(jobs.Limits{}, func(_ string, n int, err error) { failed <- word{n, err} })
 	ran := make(chan string, 10)
 	wrong := errors.New("no disk")
 	first := true
@@ -29,7 +29,7 @@
 		}
 		return nil
 	})
-	r.Add(jobs.Job{Name: "last", Last: true}, func(context.Context, *Meter) error {
+	r.Add(jobs.Job{Name: "last", RunAtShutdown: true}, func(context.Context, *Meter) error {
 		ran <- "last"
 		return nil
 	})
@@ -61,9 +61,9 @@
 
 // TestStuck: a run that ends for nobody does not hold the process up for longer than its patience, and one with a limit is told.
 func TestStuck(t *testing.T) {
-	r := New(jobs.Terms{Side: 2}, func(string, int, error) {})
+	r := New(jobs.Limits{Parallel: 2}, func(string, int, error) {})
 	told, release := make(chan bool), make(chan bool)
-	limited := r.Add(jobs.Job{Name: "limited", Limit: 0.02}, func(ctx context.Context, _ *Meter) error {
+	limited := r.Add(jobs.Job{Name: "limited", Timeout: 0.02}, func(ctx context.Context, _ *Meter) error {
 		<-ctx.Done()
 		close(told)
 		return nil
--- a/internal/measure/state.go
+++ b/internal/measure/state.go
@@ -334,7 +334,7 @@
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := jobrunner.New(bg.Terms{CPU: 0.05, Late: 0.005}, func(string, int, error) {})
+	r := jobrunner.New(bg.Limits{CPU: 0.05, MaxLateness: 0.005}, func(string, int, error) {})
 	if write {
 		s, _, err := store.Open(filepath.Join(dir, "state"), "n1")
 		if err != nil {
@@ -344,7 +344,7 @@
 		kept := fullKept()
 		kept.Profiles = kept.Profiles[:32] // of a usual router
 		kept.Quick.Known.Engines, kept.Quick.Known.Tenants = kept.Quick.Known.Engines[:72], kept.Quick.Known.Tenants[:64]
-		r.Add(bg.Job{Name: "snapshot", Every: 1, Deadline: 1}, func(_ context.Context, m *jobrunner.Meter) error {
+		r.Add(bg.Job{Name: "snapshot", Interval: 1, Deadline: 1}, func(_ context.Context, m *jobrunner.Meter) error {
 			body, err := cbor.Marshal(kept)
 			if err != nil {
 				return err
@@ -365,7 +365,7 @@
 		time.Sleep(time.Until(due))
 		late := time.Since(due).Seconds()
 		lates = append(lates, late)
-		r.Late(late)
+		r.ObserveLateness(late)
 		p.run(100) // some 0.2 ms of decisions
 	}
 	cancel()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -53,10 +53,10 @@
 	k := &Keeper{set: set, name: name, log: log, began: time.Now()}
 	k.set.Snapshot, k.set.Record = cmp.Or(set.Snapshot, everySnapshot), cmp.Or(set.Record, everyRecord)
 	k.set.MB, k.set.CPU, k.set.Bytes = cmp.Or(set.MB, standardMB), cmp.Or(set.CPU, standardCPU), cmp.Or(set.Bytes, standardBytes)
-	k.runner = jobrunner.New(bg.Terms{CPU: k.set.CPU, Bytes: k.set.Bytes, Late: lateness}, k.failed)
+	k.runner = jobrunner.New(bg.Limits{CPU: k.set.CPU, Bytes: k.set.Bytes, MaxLateness: lateness}, k.failed)
 	const folder = "folder"
-	k.runner.Add(bg.Job{Name: "snapshot", Level: 1, Resource: folder, Every: k.set.Snapshot, Deadline: k.set.Snapshot, Last: true}, k.snapshot)
-	k.runner.Add(bg.Job{Name: "journal", Level: 2, Resource: folder, Every: k.set.Record, Deadline: 2 * k.set.Record}, k.record)
+	k.runner.Add(bg.Job{Name: "snapshot", Priority: 1, Resource: folder, Interval: k.set.Snapshot, Deadline: k.set.Snapshot, RunAtShutdown: true}, k.snapshot)
+	k.runner.Add(bg.Job{Name: "journal", Priority: 2, Resource: folder, Interval: k.set.Record, Deadline: 2 * k.set.Record}, k.record)
 	return k
 }
 
@@ -116,7 +116,7 @@
 // Tick is called by the owner's goroutine some ten times a second.
 func (k *Keeper) Tick(now float64, m *router.Router) {
 	if k.lastAt > 0 {
-		k.runner.Late(now - k.lastAt - tick)
+		k.runner.ObserveLateness(now - k.lastAt - tick)
 	}
 	k.lastAt = now
 	if now >= k.slowAt {
