probing, fleet/lease: hints, stale fences, releases and suppression by their names

probing: Book is Hints, Hear Receive, At NextProbe, Tried Probed. lease: Old is StaleFenceError, Mark FenceMark, MostMarks MaxMarks, May Permit, Let Release, Gone Released, Own HolderDuration, Passing FlapDamper (Over Suppressed), Candidate.Works Tasks. Keys in JSON and CBOR stay. No behaviour changes.

--- a/emulator/fleet/audit.go
+++ b/emulator/fleet/audit.go
@@ -82,7 +82,7 @@
 }
 
 func (a *audit) acted(c *call, err error) {
-	var old *lease.Old
+	var old *lease.StaleFenceError
 	if c.act < 0 {
 		return
 	}
--- a/emulator/modelcheck/explore.go
+++ b/emulator/modelcheck/explore.go
@@ -177,8 +177,8 @@
 
 // check that at no moment both may act.
 func (s *state) check() error {
-	f0, a := s.owners[0].o.May(mine(s.t), work, 0)
-	f1, b := s.owners[1].o.May(mine(s.t), work, 0)
+	f0, a := s.owners[0].o.Permit(mine(s.t), work, 0)
+	f1, b := s.owners[1].o.Permit(mine(s.t), work, 0)
 	if a && b {
 		return s.found("both may act, under fences %d and %d", f0, f1)
 	}
@@ -232,7 +232,7 @@
 			n.flight = append(n.flight, message{kind: 'b', who: k, sent: s.t, session: o.session})
 			add(n)
 		}
-		if fence, ok := o.o.May(mine(s.t), work, 0); ok && o.acts < b.Acts {
+		if fence, ok := o.o.Permit(mine(s.t), work, 0); ok && o.acts < b.Acts {
 			n := s.copy(fmt.Sprint(names[k], " acts under ", fence))
 			n.owners[k].acts++
 			n.flight = append(n.flight, message{kind: 'a', who: k, sent: s.t, fence: fence})
@@ -246,7 +246,7 @@
 		}
 		if o.lets < b.Lets {
 			n := s.copy(names[k] + " lets go")
-			if c, ok := n.owners[k].o.Let(work); ok {
+			if c, ok := n.owners[k].o.Release(work); ok {
 				n.owners[k].lets++
 				n.flight = append(n.flight, message{kind: 'r', who: k, sent: s.t, session: o.session, fence: c.Fence})
 				add(n)
--- a/fleet/agent/answers.go
+++ b/fleet/agent/answers.go
@@ -30,7 +30,7 @@
 	if s.note && s.work == PlanWork {
 		m.published(now, err)
 	}
-	var old *lease.Old
+	var old *lease.StaleFenceError
 	switch {
 	case err == nil:
 	case errors.Is(err, registry.ErrSuperseded):
@@ -74,7 +74,7 @@
 
 // drop a work that is another's.
 func (m *Member) drop(work string, _ uint64) {
-	if c, ok := m.owner.Let(work); ok {
+	if c, ok := m.owner.Release(work); ok {
 		m.Stats.Lost++
 		m.log("work %q fence %d: it is another's now", work, c.Fence)
 	}
@@ -145,7 +145,7 @@
 		if x.Asked {
 			m.letGo(now, x.Work)
 		}
-		if m.owner.Gone(x.Claim) && !m.releasing(x.Work) { // the word that we let go of it was lost
+		if m.owner.Released(x.Claim) && !m.releasing(x.Work) { // the word that we let go of it was lost
 			m.request(now, Request{Act: &coordinator.Act{Kind: "release", Session: m.session, Work: x.Work, Fence: x.Fence}}, sent{work: x.Work})
 		}
 	}
@@ -153,7 +153,7 @@
 		m.planned(s.at, x)
 		var f probing.Finding
 		if len(x.Note) > 0 && strings.HasPrefix(x.Work, Trials+"/") && json.Unmarshal(x.Note, &f) == nil {
-			m.book.Hear(now, x.By, f, x.Age+now-s.at)
+			m.book.Receive(now, x.By, f, x.Age+now-s.at)
 		}
 	}
 	for _, l := range v.Mail {
@@ -222,7 +222,7 @@
 func (m *Member) Close(now float64) []Request {
 	m.closing = true
 	for _, c := range m.owner.Held() {
-		m.owner.Let(c.Work)
+		m.owner.Release(c.Work)
 	}
 	if m.session != 0 {
 		m.request(now, Request{Act: &coordinator.Act{Kind: "close", Session: m.session}}, sent{})
--- a/fleet/agent/member.go
+++ b/fleet/agent/member.go
@@ -110,7 +110,7 @@
 
 // Kept is what outlives the process.
 type Kept struct {
-	Marks   []lease.Mark `json:"marks" cbor:"1,keyasint"`
+	Marks   []lease.FenceMark `json:"marks" cbor:"1,keyasint"`
 	Floor   uint64       `json:"floor" cbor:"2,keyasint"`
 	Highest uint64       `json:"highest" cbor:"3,keyasint"`
 	Pledged bool         `json:"pledged" cbor:"4,keyasint"` // a part may be laid down
@@ -156,7 +156,7 @@
 	terms    lease.Terms
 	owner    *lease.Owner
 	gate     *lease.Gate
-	book     *probing.Book
+	book     *probing.Hints
 	wholes   map[string]*whole
 	cold     map[start]*whole // the same by engine, since the module asks for them with each command
 	quotas   []*whole         // and by tenant
@@ -233,7 +233,7 @@
 
 // New member. kept is what an earlier process left.
 func New(cfg Config, kept Kept) *Member {
-	m := &Member{cfg: cfg, gate: lease.NewGate(), book: probing.NewBook(), wholes: map[string]*whole{},
+	m := &Member{cfg: cfg, gate: lease.NewGate(), book: probing.NewHints(), wholes: map[string]*whole{},
 		cold: map[start]*whole{}, quotas: make([]*whole, len(cfg.Tenants)), trials: map[string]*trial{}, sent: map[uint64]sent{}, kept: kept, highest: kept.Highest,
 		rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), beatAt: cfg.Began}
 	m.doesWarmth, m.doesTrials, m.doesQuotas = slices.Contains(cfg.Stands, Warmth), slices.Contains(cfg.Stands, Trials), slices.Contains(cfg.Stands, Quotas)
@@ -310,12 +310,12 @@
 	if !m.doesTrials {
 		return own
 	}
-	return m.book.At(now, engine, at, own)
+	return m.book.NextProbe(now, engine, at, own)
 }
 
 // Tried tells how a trial went.
 func (m *Member) Tried(now float64, engine uint32, at float64, well bool) {
-	m.book.Tried(now, engine, at, well)
+	m.book.Probed(now, engine, at, well)
 }
 
 // ---- what the router tells
@@ -454,7 +454,7 @@
 	if w := m.wholes[work]; w != nil {
 		w.dealer = nil
 	}
-	if c, ok := m.owner.Let(work); ok {
+	if c, ok := m.owner.Release(work); ok {
 		m.log("work %q fence %d: let go", work, c.Fence)
 		m.request(now, Request{Act: &coordinator.Act{Kind: "release", Session: m.session, Work: work, Fence: c.Fence}}, sent{work: work})
 	}
@@ -506,7 +506,7 @@
 func (m *Member) Held() []lease.Claim { return m.owner.Held() }
 
 func (m *Member) May(now float64, work string) (fence uint64, ok bool) {
-	return m.owner.May(now, work, 0)
+	return m.owner.Permit(now, work, 0)
 }
 
 // Session that we have, 0: none; Fleet is how many there are.
--- a/fleet/agent/plan.go
+++ b/fleet/agent/plan.go
@@ -41,7 +41,7 @@
 			m.write(PlanWork, 0, "", word{Report: &r})
 		}
 	}
-	fence, ok := m.owner.May(m.at(now), PlanWork, 0.5) // seconds that agreeing takes at most
+	fence, ok := m.owner.Permit(m.at(now), PlanWork, 0.5) // seconds that agreeing takes at most
 	if !ok {
 		return
 	}
--- a/fleet/agent/works.go
+++ b/fleet/agent/works.go
@@ -34,7 +34,7 @@
 		}
 		// A deal counts from now on wherever it gets to, so nothing is to be taken off for its way.
 		now := m.at(now)
-		fence, ok := m.owner.May(now, c.Work, 0)
+		fence, ok := m.owner.Permit(now, c.Work, 0)
 		if !ok || fence != w.dealer.Fence() {
 			continue
 		}
@@ -82,12 +82,12 @@
 		return // it neither fails here nor has answered of late: nothing was found
 	}
 	const way = 0.5 // seconds that agreeing takes at most, before the finding is seen
-	fence, may := m.owner.May(m.at(now), c.Work, way)
+	fence, may := m.owner.Permit(m.at(now), c.Work, way)
 	if !may {
 		return
 	}
 	x.noted, x.well = now, !h.Ill
-	body, _ := json.Marshal(probing.Finding{Engine: x.engine.ID, Start: x.engine.Start, Well: !h.Ill})
+	body, _ := json.Marshal(probing.Finding{Server: x.engine.ID, Start: x.engine.Start, Healthy: !h.Ill})
 	m.request(now, Request{Act: &coordinator.Act{Kind: "note", Session: m.session, Work: c.Work, Fence: fence, Body: body}}, sent{work: c.Work, note: true})
 }
 
--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -26,7 +26,7 @@
 	askedAt  float64
 	assigns  map[string]bool // works whose owner is being agreed
 	wanted   map[string]want
-	passing  *lease.Passing
+	passing  *lease.FlapDamper
 	changing bool // of keepers
 	changeAt float64
 	giveUp   func()
@@ -75,7 +75,7 @@
 
 func newDesk() desk {
 	return desk{clients: map[uint64]*client{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, wanted: map[string]want{},
-		passing: lease.NewPassing(), readAs: map[uint64]uint16{}}
+		passing: lease.NewFlapDamper(), readAs: map[uint64]uint16{}}
 }
 
 func (k *Keeper) answer(request uint64, value any, err error) {
--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -40,7 +40,7 @@
 			for _, id := range k.ids() {
 				c := k.clients[id]
 				if s := k.rec.Session(id); s != nil && !s.Superseded && !c.ending && c.held != nil && k.now-c.heard < duration/2 && c.since == 0 {
-					all = append(all, lease.Candidate{Session: id, Name: c.name, Zone: s.Zone, Works: owns[id]})
+					all = append(all, lease.Candidate{Session: id, Name: c.name, Zone: s.Zone, Tasks: owns[id]})
 					stands[id] = c.stands
 				}
 			}
@@ -52,7 +52,7 @@
 				able = append(able, c)
 			}
 		}
-		n := lease.Choose(able, name, w.zone, func(name string) bool { return k.passing.Over(k.now, name) })
+		n := lease.Choose(able, name, w.zone, func(name string) bool { return k.passing.Suppressed(k.now, name) })
 		if n < 0 {
 			continue
 		}
@@ -191,8 +191,8 @@
 		}
 		if w.Owner != s.ID || w.Fence != l.Fence {
 			k.Refused++
-			if !slices.Contains(p.Old, lease.Mark{Work: l.Work, Fence: w.Fence}) {
-				p.Old = append(p.Old, lease.Mark{Work: l.Work, Fence: w.Fence})
+			if !slices.Contains(p.Old, lease.FenceMark{Work: l.Work, Fence: w.Fence}) {
+				p.Old = append(p.Old, lease.FenceMark{Work: l.Work, Fence: w.Fence})
 			}
 			continue
 		}
@@ -248,7 +248,7 @@
 			k.Refused++
 		}
 		if err == registry.ErrFence && fence > 0 {
-			err = &lease.Old{Work: a.Work, Fence: a.Fence, Highest: fence}
+			err = &lease.StaleFenceError{Work: a.Work, Fence: a.Fence, Highest: fence}
 		}
 		k.answer(request, Posted{}, err)
 	})
--- a/fleet/coordinator/words.go
+++ b/fleet/coordinator/words.go
@@ -71,7 +71,7 @@
 
 // Posted tells what became of mail: works whose letters were refused as the sender is not the owner, with the fence of now.
 type Posted struct {
-	Old []lease.Mark `json:"old,omitempty"`
+	Old []lease.FenceMark `json:"old,omitempty"`
 }
 
 // Act is something that a session wants agreed.
--- a/fleet/lease/owner.go
+++ b/fleet/lease/owner.go
@@ -1,5 +1,7 @@
-// Package lease decides what an owner of the fleet's work may believe and what a receiver of its acts may accept. It knows
-// no clock: every time is a reading of the calling process's own, in seconds, which counts on while the process is stopped.
+// Package lease decides what the holder of a lease on the fleet's tasks may assume, and what a receiver of its acts may accept.
+//
+// It has no clock: every time is a reading, in seconds, of the calling process's own monotonic clock, which goes on while the
+// process is stopped.
 package lease
 
 import (
@@ -8,68 +10,69 @@
 	"slices"
 )
 
-// Terms of leases, the same on every process of a fleet.
+// Terms are the terms of all leases, the same in every process of a fleet.
 type Terms struct {
-	Lease float64 // seconds that keepers wait, on their clocks, before they free the works of a session that is silent
-	Drift float64 // by what share any clock may run fast or slow
+	Lease float64 // seconds after which coordinators, by their clocks, free the tasks of a silent session
+	Drift float64 // fraction by which any clock may run fast or slow
 }
 
-// Own is how long an owner may count, on its clock, from when it asked for what was confirmed. The keepers' count begins later
-// (when the question came) and is longer by what both clocks may differ, so it ends later whoever stands still between.
-func (t Terms) Own() float64 { return t.Lease * (1 - t.Drift) / (1 + t.Drift) }
+// HolderDuration returns for how many seconds a lease lasts for its holder, counted on its clock from when it sent the heartbeat that
+// was confirmed. The coordinators' count begins later, when the heartbeat arrives, and is longer by what both clocks may differ, so
+// that it ends later whichever process is suspended in between.
+func (t Terms) HolderDuration() float64 { return t.Lease * (1 - t.Drift) / (1 + t.Drift) }
 
-// Longest is how long what a process counts as a length may last by another's clock.
+// Longest returns how long a duration on one process's clock may last on another's.
 func (t Terms) Longest(length float64) float64 { return length * (1 + t.Drift) / (1 - t.Drift) }
 
-// Claim is one work under the fence that its owner got.
+// Claim is the ownership of a task under a fence.
 type Claim struct {
 	Work  string `json:"work"`
 	Fence uint64 `json:"fence"`
 }
 
-// Owner is one process's belief in the works it owns.
+// Owner is what one process may assume of the tasks that it owns. It is not safe for concurrent use.
 type Owner struct {
-	terms   Terms
-	session uint64
-	number  uint64  // of the view whose claims count: keepers number views in the order that they write them
-	until   float64 // end of the lease on this process's clock
-	held    map[string]uint64
-	let     map[string]uint64 // highest fence that was let go of, by work that the record may still show as ours
+	terms          Terms
+	session        uint64
+	snapshotNumber uint64  // of the newest snapshot of claims; coordinators number snapshots in the order of their state
+	until          float64 // end of the lease on this process's clock
+	held           map[string]uint64
+	released       map[string]uint64 // highest released fence, by task that the registry may still show as held
 }
 
+// NewOwner returns an owner of nothing, without a session.
 func NewOwner(t Terms) *Owner {
-	return &Owner{terms: t, held: map[string]uint64{}, let: map[string]uint64{}}
+	return &Owner{terms: t, held: map[string]uint64{}, released: map[string]uint64{}}
 }
 
-// Terms as the keepers have them, from the next confirmation on.
+// Terms sets the terms that the coordinators use, from the next confirmation on.
 func (o *Owner) Terms(t Terms) { o.terms = t }
 
-// Session that the belief stands on, 0: none.
+// Session returns the number of the session, or 0.
 func (o *Owner) Session() uint64 { return o.session }
 
-// Until is the end of the lease.
+// Until returns the time at which the lease ends.
 func (o *Owner) Until() float64 { return o.until }
 
-// Confirmed takes the keepers' word on a question sent at that time: the session, and all works that are its own by the view of
-// that number. Answers pass each other on their way, and a later question may have been answered first: whatever comes
-// lengthens the lease by when it was asked for, but claims of a view older than the last one's are no news. gone are the works that
-// are not ours any more.
+// Confirmed applies the coordinators' answer to a heartbeat sent at the given time: the session, and all tasks that it owns by the
+// snapshot of that number. Answers may arrive out of order: each extends the lease by when its heartbeat was sent, but claims of a
+// snapshot that is not newer than the last are ignored. It returns the tasks that are not held any more.
 func (o *Owner) Confirmed(sent float64, number, session uint64, claims []Claim) (gone []Claim) {
-	if number <= o.number {
+	if number <= o.snapshotNumber {
 		if session == o.session {
-			o.until = max(o.until, sent+o.terms.Own())
+			o.until = max(o.until, sent+o.terms.HolderDuration())
 		}
 		return nil
 	}
 	if session != o.session {
-		gone = o.Lose() // what was let go of stays so: the word of it may still be on its way
+		gone = o.Lose() // released tasks stay released: the coordinators may not have received the release yet
 		o.session = session
 	}
-	o.number = number
-	o.until = max(o.until, sent+o.terms.Own())
+	o.snapshotNumber = number
+	o.until = max(o.until, sent+o.terms.HolderDuration())
 	now := make(map[string]uint64, len(claims))
 	for _, c := range claims {
-		if c.Fence > o.let[c.Work] {
+		if c.Fence > o.released[c.Work] {
 			now[c.Work] = c.Fence
 		}
 	}
@@ -78,15 +81,16 @@
 			gone = append(gone, c)
 		}
 	}
-	for work := range o.let { // the record has seen that it was let go of
+	for work := range o.released { // the registry has applied the release
 		if !claimed(claims, work) {
-			delete(o.let, work)
+			delete(o.released, work)
 		}
 	}
 	o.held = now
 	return gone
 }
 
+// claimed reports whether a task is among the claims.
 func claimed(claims []Claim, work string) bool {
 	for _, c := range claims {
 		if c.Work == work {
@@ -96,7 +100,7 @@
 	return false
 }
 
-// Lose gives all up: the session is another's or over.
+// Lose ends the session and returns what was held: the session is over, or another process's.
 func (o *Owner) Lose() (gone []Claim) {
 	gone = inOrder(o.held)
 	clear(o.held)
@@ -104,31 +108,32 @@
 	return gone
 }
 
-// Let stops a work for good under the fence that it has, before the keepers are told.
-func (o *Owner) Let(work string) (c Claim, ok bool) {
+// Release gives a task up under its present fence, before the coordinators are told.
+func (o *Owner) Release(work string) (c Claim, ok bool) {
 	fence, ok := o.held[work]
 	if ok {
-		o.let[work] = max(o.let[work], fence)
+		o.released[work] = max(o.released[work], fence)
 		delete(o.held, work)
 	}
 	return Claim{work, fence}, ok
 }
 
-// Gone tells whether a claim is one that was let go of.
-func (o *Owner) Gone(c Claim) bool { return c.Fence <= o.let[c.Work] }
+// Released reports whether a claim was given up.
+func (o *Owner) Released(c Claim) bool { return c.Fence <= o.released[c.Work] }
 
-// May tells whether an act on a work may begin now that has its effect after takes seconds at the latest, and under which
-// fence. It has to be asked at the moment of the act: an answer kept for later proves nothing.
-func (o *Owner) May(now float64, work string, takes float64) (fence uint64, ok bool) {
+// Permit reports whether an act on a task may begin now that takes effect within the given seconds, and under which fence. It is to
+// be called at the moment of the act: an answer kept for later proves nothing.
+func (o *Owner) Permit(now float64, work string, takes float64) (fence uint64, ok bool) {
 	fence = o.held[work]
 	return fence, fence > 0 && now+takes < o.until
 }
 
-// Held is all works that the record gave us, whether or not the lease still runs.
+// Held returns all tasks that the registry has granted, whether or not the lease still runs.
 func (o *Owner) Held() []Claim {
 	return inOrder(o.held)
 }
 
+// inOrder returns claims in the order of the tasks' names.
 func inOrder(m map[string]uint64) (all []Claim) {
 	for _, work := range slices.Sorted(maps.Keys(m)) {
 		all = append(all, Claim{work, m[work]})
@@ -136,14 +141,14 @@
 	return all
 }
 
-// Clone is a belief of its own with the same contents.
+// Clone returns an independent copy.
 func (o *Owner) Clone() *Owner {
 	c := *o
-	c.held, c.let = maps.Clone(o.held), maps.Clone(o.let)
+	c.held, c.released = maps.Clone(o.held), maps.Clone(o.released)
 	return &c
 }
 
-// State as text: two beliefs are the same where these are.
+// State returns all of the state as text: two owners are equal where their texts are.
 func (o *Owner) State() string {
-	return fmt.Sprint(o.session, o.number, o.until, inOrder(o.held), inOrder(o.let))
+	return fmt.Sprint(o.session, o.snapshotNumber, o.until, inOrder(o.held), inOrder(o.released))
 }
--- a/fleet/lease/ownership_test.go
+++ b/fleet/lease/ownership_test.go
@@ -14,7 +14,7 @@
 	freed := sent + way + terms.Lease/keeper // in true time
 	o := NewOwner(terms)
 	o.Confirmed(sent*owner, 1, 1, []Claim{{"w", 3}})
-	_, ok := o.May((freed+1e-9)*owner, "w", 0)
+	_, ok := o.Permit((freed+1e-9)*owner, "w", 0)
 	return !ok
 }
 
@@ -44,24 +44,24 @@
 func TestOwner(t *testing.T) {
 	o := NewOwner(Terms{Lease: 4, Drift: 0.05})
 	o.Confirmed(100, 1, 7, []Claim{{"a", 1}, {"b", 2}})
-	if f, ok := o.May(101, "a", 0.5); !ok || f != 1 {
+	if f, ok := o.Permit(101, "a", 0.5); !ok || f != 1 {
 		t.Errorf("it may: %v %v", f, ok)
 	}
-	if _, ok := o.May(101, "a", 3); ok {
+	if _, ok := o.Permit(101, "a", 3); ok {
 		t.Error("an act that takes longer than the lease")
 	}
-	if _, ok := o.May(130, "a", 0); ok {
+	if _, ok := o.Permit(130, "a", 0); ok {
 		t.Error("stopped for 30 s, it may still")
 	}
 	o.Confirmed(131, 2, 7, []Claim{{"a", 1}, {"b", 2}})
-	o.Let("a")
+	o.Release("a")
 	o.Confirmed(132, 3, 7, []Claim{{"a", 1}, {"b", 2}}) // the keepers have not seen the release yet
-	if _, ok := o.May(132, "a", 0); ok {
+	if _, ok := o.Permit(132, "a", 0); ok {
 		t.Error("what was let go of came back")
 	}
 	o.Confirmed(133, 4, 7, []Claim{{"b", 2}})
 	o.Confirmed(134, 5, 7, []Claim{{"a", 9}, {"b", 2}})
-	if f, ok := o.May(134, "a", 0); !ok || f != 9 {
+	if f, ok := o.Permit(134, "a", 0); !ok || f != 9 {
 		t.Errorf("it got it anew: %v %v", f, ok)
 	}
 	if gone := o.Confirmed(134.5, 4, 7, nil); len(gone) > 0 {
@@ -70,7 +70,7 @@
 	if gone := o.Confirmed(135, 6, 8, nil); len(gone) != 2 {
 		t.Errorf("another session: %v", gone)
 	}
-	if _, ok := o.May(135, "b", 0); ok {
+	if _, ok := o.Permit(135, "b", 0); ok {
 		t.Error("works of another session")
 	}
 }
@@ -84,7 +84,7 @@
 			work := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "work")
 			fence := rapid.Uint64Range(0, 9).Draw(t, "fence")
 			_, err := g.Accept(work, fence)
-			var old *Old
+			var old *StaleFenceError
 			switch {
 			case fence == 0 || fence < highest[work]:
 				if !errors.As(err, &old) || old.Highest != highest[work] {
@@ -103,10 +103,10 @@
 		}
 	})
 	g := NewGate()
-	for n := range uint64(3 * MostMarks) {
+	for n := range uint64(3 * MaxMarks) {
 		g.Accept(fmt.Sprint(n), n+1)
 	}
-	if marks, _ := g.Export(); len(marks) > MostMarks {
+	if marks, _ := g.Export(); len(marks) > MaxMarks {
 		t.Errorf("%d marks", len(marks))
 	}
 	if _, err := g.Accept("0", 1); err == nil {
@@ -143,23 +143,23 @@
 		busy[k] = Candidate{Session: uint64(k + 1), Name: fmt.Sprint("n", k)}
 	}
 	for w := range 40 {
-		busy[Choose(busy, fmt.Sprint("w", w), "", none)].Works++
+		busy[Choose(busy, fmt.Sprint("w", w), "", none)].Tasks++
 	}
 	for _, c := range busy {
-		if c.Works > 14 {
-			t.Errorf("%s owns %d of 40", c.Name, c.Works)
+		if c.Tasks > 14 {
+			t.Errorf("%s owns %d of 40", c.Name, c.Tasks)
 		}
 	}
 	if Choose(nil, "w", "", none) != -1 {
 		t.Error("nobody owns it")
 	}
-	p := NewPassing()
+	p := NewFlapDamper()
 	length := 0.0
 	for k := range 6 {
 		now := float64(100 * k)
 		p.Lost(now, "n1")
 		until := now
-		for p.Over(until, "n1") {
+		for p.Suppressed(until, "n1") {
 			until++
 		}
 		if until-now <= length && until-now < 100 {
@@ -167,7 +167,7 @@
 		}
 		length = until - now
 	}
-	if p.Over(5000, "n1") || p.Over(0, "n2") {
+	if p.Suppressed(5000, "n1") || p.Suppressed(0, "n2") {
 		t.Error("passed over for no reason")
 	}
 }
--- a/internal/agentdriver/link.go
+++ b/internal/agentdriver/link.go
@@ -186,7 +186,7 @@
 	case r.Act != nil:
 		var p coordinator.Posted
 		err = l.client.Call(ask, "/v1/act", r.Act, &p)
-		var old *lease.Old
+		var old *lease.StaleFenceError
 		if errors.As(err, &old) {
 			old.Fence = r.Act.Fence
 		}
--- a/internal/coordserver/serve.go
+++ b/internal/coordserver/serve.go
@@ -35,13 +35,13 @@
 	Error  string      `json:"error"`
 	Text   string      `json:"text,omitempty"`
 	Leader string      `json:"leader,omitempty"` // address of who leads
-	Old    *lease.Mark `json:"old,omitempty"`
+	Old    *lease.FenceMark `json:"old,omitempty"`
 }
 
 // Err is the error that a fault stands for.
 func (f *Fault) Err() error {
 	if f.Old != nil {
-		return &lease.Old{Work: f.Old.Work, Highest: f.Old.Fence}
+		return &lease.StaleFenceError{Work: f.Old.Work, Highest: f.Old.Fence}
 	}
 	if e := wireErrors[f.Error]; e != nil {
 		if f.Text != "" {
@@ -53,9 +53,9 @@
 }
 
 func faultOf(err error, leader string) *Fault {
-	var old *lease.Old
+	var old *lease.StaleFenceError
 	if errors.As(err, &old) {
-		return &Fault{Error: "fence", Text: err.Error(), Old: &lease.Mark{Work: old.Work, Fence: old.Highest}}
+		return &Fault{Error: "fence", Text: err.Error(), Old: &lease.FenceMark{Work: old.Work, Fence: old.Highest}}
 	}
 	for word, e := range wireErrors {
 		if errors.Is(err, e) {
