waittime: estimator, reservations and accuracy in place of book, slots and promises kept

Book is Estimator, Tell Predict, Learn Observe, Came Fulfilled, Returned ObserveReturn, Kept ReservedLoad, Audit EachAudit, Figures Accuracy, Take Restore, Soonest MinPause; unexported names and constants follow; waits.go is estimator.go. Booked and Over stay, as brain.go calls them. Type-aware renames; the planted bugs' texts follow. No behaviour changes.

--- a/admission/api.go
+++ b/admission/api.go
@@ -84,11 +84,11 @@
 
 	Memory *warmstart.Beliefs // of what an earlier process knew, engines' starts by this one's clock; nil: nothing
 
-	Fleet  Fleet          // nil: nothing is heard of what other routers agree on
-	Plan   Plan           // nil: zones have a price of the module's own
-	Teams  Teams          // nil: commands are of no team
-	Waits  *waittime.Book // nil: no waits are told
-	Ageing float64        // with teams: seconds of work per benefit that a second of waiting makes up for
+	Fleet  Fleet               // nil: nothing is heard of what other routers agree on
+	Plan   Plan                // nil: zones have a price of the module's own
+	Teams  Teams               // nil: commands are of no team
+	Waits  *waittime.Estimator // nil: no waits are told
+	Ageing float64             // with teams: seconds of work per benefit that a second of waiting makes up for
 }
 
 // Teams decides between the commands of teams that compete: which of the held goes next, who may use the short lane, whose
--- a/admission/waits.go
+++ b/admission/waits.go
@@ -25,15 +25,15 @@
 		return b.set.MaxPause / 2 // half of what clients honour: most do, and the rest spreads them
 	}
 	if b.now > r.took { // given up in the line: what it would wait for now is the honest answer, and it is no ghost
-		start := w.Tell(waittime.Start, r.Team, r.Profile, b.waitOf(r)+b.ownPlaces(r, p))
+		start := w.Predict(waittime.Start, r.Team, r.Profile, b.waitOf(r)+b.ownPlaces(r, p))
 		b.host.Told(r.ID, waittime.Return, start)
-		return min(max(start.P50, waittime.Soonest), b.set.MaxPause)
+		return min(max(start.P50, waittime.MinPause), b.set.MaxPause)
 	}
 	base, part := b.backIn(r, p), 1.0
 	if b.set.Teams != nil {
 		part = b.set.Teams.Due(r.Team)
 	}
-	alone := w.Tell(waittime.Return, r.Team, r.Profile, base)
+	alone := w.Predict(waittime.Return, r.Team, r.Profile, base)
 	pause, e := w.Refuse(b.now, r.Mark, r.Team, r.Profile, base, r.cost*b.pace/max(b.places(&b.all), 1), part)
 	b.host.Told(r.ID, waittime.Return, e)
 	if b.refused++; b.refused%everyGhost == 0 && len(b.ghosts) < mostGhosts {
@@ -47,7 +47,7 @@
 	if b.set.Waits == nil || r.booked {
 		return 0
 	}
-	return b.set.Waits.Kept(b.now)
+	return b.set.Waits.ReservedLoad(b.now)
 }
 
 // lookAgain finds when refused commands would have been let in.
@@ -56,7 +56,7 @@
 	for k := range b.ghosts {
 		g := &b.ghosts[k]
 		if in, old := b.wouldTake(g.record), b.now-g.since; in || old >= ghostLife {
-			b.set.Waits.Returned(g.Team, g.Profile, g.base, g.told, old, !in)
+			b.set.Waits.ObserveReturn(g.Team, g.Profile, g.base, g.told, old, !in)
 		} else {
 			kept = append(kept, *g)
 		}
@@ -111,7 +111,7 @@
 		return
 	}
 	if r.promised {
-		w.Came(b.now, i, waittime.Start)
+		w.Fulfilled(b.now, i, waittime.Start)
 		return
 	}
 	r.promised = true
@@ -127,5 +127,5 @@
 	if o.End == Answered {
 		b.stay += 0.02 * (o.Lag - b.stay) // over some fifty
 	}
-	b.set.Waits.Came(b.now, i, waittime.Answer)
+	b.set.Waits.Fulfilled(b.now, i, waittime.Answer)
 }
--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -32,8 +32,8 @@
 	{"cold budget doubled", "admission/brain.go", "const coldMargin = 0.5", "const coldMargin = 1.0", "./internal/expect"},
 	{"trial never ends", "admission/brain.go", "e.fails < 0.1 {", "e.fails < 0 {", "./internal/expect"},
 	{"ageing off", "admission/brain.go", "r.rank = r.price + b.set.Ageing*r.took", "r.rank = r.price ", "./internal/expect"},
-	{"waits given up count as kept", "waittime/waits.go", "if above && z <= t.q50 {", "if above = false; above {", "./waittime"},
-	{"a time is told to all", "waittime/waits.go", "due = max(due, s.due+s.load/max(part, 1e-3))", "due = max(due, 0)", "./waittime"},
+	{"waits given up count as kept", "waittime/estimator.go", "if above && z <= t.q50 {", "if above = false; above {", "./waittime"},
+	{"a time is told to all", "waittime/estimator.go", "due = max(due, s.due+s.load/max(part, 1e-3))", "due = max(due, 0)", "./waittime"},
 	{"the fence is not checked", "fleet/lease/gate.go", "if fence < m.fence || fence == 0 {", "if fence == 0 {", "./emulator/modelcheck"},
 	{"a note's fence is not checked", "fleet/registry/record.go", "if w.Owner != e.Session || w.Fence != e.Fence {\n\t\t\treturn w.Fence, ErrFence", "if false {\n\t\t\treturn w.Fence, ErrFence", "./emulator/fleet"},
 	{"the lease is checked when an act is queued", "fleet/agent/works.go", "if !ok || fence != w.dealer.Fence() {", "if _ = ok; fence != w.dealer.Fence() {", "./emulator/fleet"},
@@ -90,7 +90,7 @@
 	{"a plan is used after its life", "fleet/failover/guide.go", "if now >= g.until { // nothing heard", "if false { // nothing heard", "./fleet/failover"},
 	{"half of the observers give a zone up", "fleet/failover/evidence.go", "agree    = 0.6", "agree    = 0.4", "./fleet/failover"},
 	{"dead observers count as witnesses", "fleet/failover/evidence.go", "if alone[r.Zone] && r.Zone != z {", "if false {", "./fleet/failover"},
-	{"who comes early finds room", "waittime/waits.go", "if k < 0 || b.slots[k].due > now+early {", "if k < 0 {", "./waittime"},
+	{"who comes early finds room", "waittime/estimator.go", "if k < 0 || b.reservations[k].due > now+earlyTolerance {", "if k < 0 {", "./waittime"},
 }
 
 // drawn tells whether a package's tests draw cases.
--- a/internal/router/knows.go
+++ b/internal/router/knows.go
@@ -49,7 +49,7 @@
 			}
 			w.Team = r.teams.Name(l.Team)
 		}
-		for _, c := range l.Of {
+		for _, c := range l.Corrections {
 			w.Of = append(w.Of, warmstart.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev})
 		}
 		all = append(all, w)
@@ -86,11 +86,11 @@
 			l.Team = team
 		}
 		for n, c := range w.Of {
-			if n < len(l.Of) {
-				l.Of[n] = waittime.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev}
+			if n < len(l.Corrections) {
+				l.Corrections[n] = waittime.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev}
 			}
 		}
 		all = append(all, l)
 	}
-	book.Take(all)
+	book.Restore(all)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,7 +83,7 @@
 }
 
 // Waits has the router tell its clients of waits, or only use and audit them itself.
-func (r *Router) Waits(b *waittime.Book, tell bool) { r.set.Brain.Waits, r.tells = b, tell }
+func (r *Router) Waits(b *waittime.Estimator, tell bool) { r.set.Brain.Waits, r.tells = b, tell }
 
 // Fleet has the router take part in what others agree on.
 func (r *Router) Fleet(f admission.Fleet, p admission.Plan) {
@@ -103,12 +103,12 @@
 		return
 	}
 	for _, k := range [...]waittime.Kind{waittime.Start, waittime.Answer, waittime.Return} {
-		book.Audit(k, func(team int, f waittime.Figures) {
+		book.EachAudit(k, func(team int, f waittime.Accuracy) {
 			name := ""
 			if r.teams != nil {
 				name = r.teams.Name(team)
 			}
-			r.log.Info("waits promised", zap.String("of", k.String()), zap.String("team", name), zap.Int("kept", f.Kept),
+			r.log.Info("waits promised", zap.String("of", k.String()), zap.String("team", name), zap.Int("kept", f.Count),
 				zap.Float64("actual over median", f.Ratio), zap.Float64("under p90", f.Covered))
 		})
 	}
--- a/waittime/waits_test.go
+++ b/waittime/estimator_test.go
@@ -29,8 +29,8 @@
 			team := k % 3
 			base := 0.2 + 3*rnd.Float64()
 			actual := base * off * math.Exp(scatter*rnd.NormFloat64())
-			told := b.Tell(Start, team, 0, base)
-			b.Learn(Start, team, 0, base, actual, false)
+			told := b.Predict(Start, team, 0, base)
+			b.Observe(Start, team, 0, base, actual, false)
 			if k < 1500 {
 				continue
 			}
@@ -54,11 +54,11 @@
 	n, covered := 0.0, 0.0
 	for k := range 8000 {
 		actual, until := math.Exp(0.5*rnd.NormFloat64()), math.Inf(1)
-		told := b.Tell(Start, 0, 0, 1)
+		told := b.Predict(Start, 0, 0, 1)
 		if k%2 == 0 {
 			until = 0.3 // half of the clients have no more time
 		}
-		b.Learn(Start, 0, 0, 1, min(actual, until), actual > until)
+		b.Observe(Start, 0, 0, 1, min(actual, until), actual > until)
 		if k > 2000 {
 			if n++; actual <= told.P50 {
 				covered++
@@ -75,41 +75,41 @@
 func TestReturns(t *testing.T) {
 	b := New(1, 10)
 	for range 200 { // waits of two to three seconds, so that both quantiles are known
-		b.Learn(Return, 0, 0, 1, 2, false)
-		b.Learn(Return, 0, 0, 1, 3, false)
+		b.Observe(Return, 0, 0, 1, 2, false)
+		b.Observe(Return, 0, 0, 1, 3, false)
 	}
 	first, e := b.Refuse(0, 11, 0, 0, 1, 0.1, 0.5)
 	second, _ := b.Refuse(0, 12, 0, 0, 1, 0.1, 0.5)
 	if first != e.P50 || math.Abs(second-first-0.2) > 1e-9 || second > e.P90 {
 		t.Fatalf("told %.2f and %.2f, estimate %v", first, second, e)
 	}
-	if again, _ := b.Refuse(0.5, 11, 0, 0, 1, 0.1, 0.5); math.Abs(again-(first-0.5)) > 1e-9 || len(b.slots) != 2 {
-		t.Errorf("one that came early is told %.2f, %d are booked", again, len(b.slots))
+	if again, _ := b.Refuse(0.5, 11, 0, 0, 1, 0.1, 0.5); math.Abs(again-(first-0.5)) > 1e-9 || len(b.reservations) != 2 {
+		t.Errorf("one that came early is told %.2f, %d are booked", again, len(b.reservations))
 	}
 	if b.Booked(1, 11) || b.Booked(first, 99) || b.Booked(first, 0) {
 		t.Error("an early or unknown command counts as booked")
 	}
-	if kept := b.Kept(first); kept <= 0 || kept > 0.2 {
+	if kept := b.ReservedLoad(first); kept <= 0 || kept > 0.2 {
 		t.Errorf("kept %.2f s of places", kept)
 	}
 	if !b.Booked(first, 11) || b.Booked(first, 11) {
 		t.Error("a time is good once")
 	}
-	shows := b.shows
-	if b.Kept(second+late+1) != 0 || b.shows >= shows {
+	shows := b.showRate
+	if b.ReservedLoad(second+lateTolerance+1) != 0 || b.showRate >= shows {
 		t.Error("what was kept for one that did not come is kept on")
 	}
 	// A thousand that ask again and again don't put a new one off past the 90th percentile.
 	for k := range uint64(2000) {
 		b.Refuse(100, 1000+k, 0, 0, 1, 0.1, 0.5)
 	}
-	if pause, e := b.Refuse(100, 1, 0, 0, 1, 0.1, 0.5); pause > e.P90 || len(b.slots) > mostSlots {
-		t.Errorf("told %.2f, 90th percentile %.2f, %d booked", pause, e.P90, len(b.slots))
+	if pause, e := b.Refuse(100, 1, 0, 0, 1, 0.1, 0.5); pause > e.P90 || len(b.reservations) > maxReservations {
+		t.Errorf("told %.2f, 90th percentile %.2f, %d booked", pause, e.P90, len(b.reservations))
 	}
 	// More than clients honour is cut to that, and nothing is booked for it.
 	b = New(1, 0.5)
-	if pause, e := b.Refuse(0, 5, 0, 0, 3, 0.1, 1); pause != 0.5 || e.P50 < 2.5 || len(b.slots) != 0 {
-		t.Errorf("told %.2f of %.2f, %d booked", pause, e.P50, len(b.slots))
+	if pause, e := b.Refuse(0, 5, 0, 0, 3, 0.1, 1); pause != 0.5 || e.P50 < 2.5 || len(b.reservations) != 0 {
+		t.Errorf("told %.2f of %.2f, %d booked", pause, e.P50, len(b.reservations))
 	}
 }
 
@@ -117,10 +117,10 @@
 func TestBounded(t *testing.T) {
 	b := New(1, 10)
 	for team := range 100000 {
-		b.Learn(Start, team, 0, 1, 1, false)
-		b.Returned(team, 0, 1, Estimate{1, 2}, 1, false)
+		b.Observe(Start, team, 0, 1, 1, false)
+		b.ObserveReturn(team, 0, 1, Estimate{1, 2}, 1, false)
 	}
-	if len(b.cells) != mostCells || len(b.audits) > mostTeams {
+	if len(b.cells) != maxCells || len(b.audits) > maxAuditedTeams {
 		t.Errorf("%d cells, %d audited", len(b.cells), len(b.audits))
 	}
 }
@@ -129,12 +129,12 @@
 func TestAudit(t *testing.T) {
 	b := New(1, 1)
 	for k := range 100 {
-		b.Returned(3, 0, 1, Estimate{1, 2}, float64(1+k%10)/4, false) // to 2.5: eight in ten under 2
+		b.ObserveReturn(3, 0, 1, Estimate{1, 2}, float64(1+k%10)/4, false) // to 2.5: eight in ten under 2
 	}
-	var got []Figures
-	b.Audit(Return, func(team int, f Figures) { got = append(got, f) })
-	if len(got) != 1 || got[0].Kept != 100 || got[0].Covered != 0.8 || math.Abs(got[0].Ratio-1.37) > 0.3 {
+	var got []Accuracy
+	b.EachAudit(Return, func(team int, f Accuracy) { got = append(got, f) })
+	if len(got) != 1 || got[0].Count != 100 || got[0].Covered != 0.8 || math.Abs(got[0].Ratio-1.37) > 0.3 {
 		t.Errorf("%+v", got)
 	}
-	b.Audit(Return, func(int, Figures) { t.Error("told twice") })
+	b.EachAudit(Return, func(int, Accuracy) { t.Error("told twice") })
 }
