--- a/cmd/dunecheck/main.go
+++ b/cmd/dunecheck/main.go
@@ -27,7 +27,7 @@
 			return schema.Check(text)
 		}}
 	root.AddCommand(expect.Command(os.Getenv, os.Stdout, schema.CheckExpectations))
-	root.AddCommand(state.Words(os.Stdout))
+	root.AddCommand(state.Command(os.Stdout))
 	switch err := root.Execute(); {
 	case errors.Is(err, expect.ErrNotHeld), errors.Is(err, state.ErrDamaged):
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -248,14 +248,14 @@
 	}
 }
 
-// TestWords: people and scripts look at a folder, of a dead and of a running router.
-func TestWords(t *testing.T) {
+// TestCommand: people and scripts look at a folder, of a dead and of a running router.
+func TestCommand(t *testing.T) {
 	dir := t.TempDir()
 	fill(t, dir, "n1")
 	fill(t, dir, "n2")
 	say := func(args ...string) (string, error) {
 		var out bytes.Buffer
-		c := Words(&out)
+		c := Command(&out)
 		c.SetArgs(args)
 		c.SilenceErrors, c.SilenceUsage = true, true
 		err := c.Execute()
@@ -267,7 +267,7 @@
 	if out, err := say("verify", dir); err != nil || out != "n1: generation 1 and 1 records\nn2: generation 1 and 1 records\n" {
 		t.Errorf("%v\n%s", err, out)
 	}
-	var all []look
+	var all []report
 	if out, err := say("export", dir, "--name", "n2"); err != nil || json.Unmarshal([]byte(out), &all) != nil || len(all) != 1 || all[0].Kept.Profiles[0].Settings != 7 {
 		t.Errorf("%v\n%s", err, out)
 	}
@@ -284,7 +284,7 @@
 	if out, err := say("compact", dir, "--name", "n1"); err != nil || !strings.HasPrefix(out, "n1: generation 2, ") {
 		t.Errorf("%v %s", err, out)
 	}
-	if l, err := see(dir, "n1"); err != nil || l.Records != 0 || l.Kept.Quick.Serial != 4 {
+	if l, err := inspect(dir, "n1"); err != nil || l.Records != 0 || l.Kept.Quick.Serial != 4 {
 		t.Errorf("compacted: %+v %v", l, err)
 	}
 	snap := filepath.Join(dir, "n1.2.snap")
