--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -28,7 +28,7 @@
 	assigned float64         // when free works were last looked at
 	assigns  map[string]bool // works whose owner is being agreed
 	wanted   map[string]want
-	passing  *lease.Passing
+	passing  *lease.FlapDamper
 	changing bool // of keepers
 	changeAt float64
 	giveUp   func()
@@ -77,7 +77,7 @@
 
 func newDesk() desk {
 	return desk{clients: map[uint64]*client{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, standing: map[string]int{}, wanted: map[string]want{},
-		passing: lease.NewPassing(), readAs: map[uint64]uint16{}}
+		passing: lease.NewFlapDamper(), readAs: map[uint64]uint16{}}
 }
 
 func (k *Keeper) answer(request uint64, value any, err error) {
