--- a/cmd/duneshow/main.go
+++ b/cmd/duneshow/main.go
@@ -17,17 +17,7 @@
 	root := &cobra.Command{Use: "duneshow", Short: "Measure one subsystem and say whether it holds", SilenceUsage: true,
 		SilenceErrors: true}
 	for _, s := range measure.All {
-		root.AddCommand(&cobra.Command{Use: s.Name, Short: s.About, Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error {
-				rows, err := s.Run()
-				if err != nil {
-					return err
-				}
-				if !measure.Print(os.Stdout, rows) {
-					return errShort
-				}
-				return nil
-			}})
+		root.AddCommand(subsystemCommand(s))
 	}
 	root.AddCommand(&cobra.Command{Use: "fleet-seeds FROM COUNT SECONDS", Short: "Play drawn faults of a fleet on virtual time and print figures as JSON",
 		Args: cobra.ExactArgs(3), RunE: func(_ *cobra.Command, args []string) error {
@@ -110,3 +100,25 @@
 		os.Exit(1)
 	}
 }
+
+// subsystemCommand measures one subsystem.
+func subsystemCommand(subsystem measure.Subsystem) *cobra.Command {
+	short := false
+	command := &cobra.Command{Use: subsystem.Name, Short: subsystem.About, Args: cobra.NoArgs}
+	command.Flags().BoolVar(&short, "short", false, "the form that CI runs: fewer cases, the same bounds")
+	command.RunE = func(*cobra.Command, []string) error {
+		run := subsystem.Run
+		if short {
+			run = subsystem.Short
+		}
+		rows, err := run()
+		if err != nil {
+			return err
+		}
+		if !measure.Print(os.Stdout, rows) {
+			return errShort
+		}
+		return nil
+	}
+	return command
+}
--- a/internal/measure/budgets.go
+++ b/internal/measure/budgets.go
@@ -18,14 +18,15 @@
 type Subsystem struct {
 	Name, About string
 	Run         func() ([]Row, error)
+	Short       func() ([]Row, error) // the form that CI runs: seconds, and no verdict by the machine's pace
 }
 
 // All of them.
-var All = []Subsystem{{"budgets", "Team budgets and honest waits, on virtual time", Budgets},
-	{"expect", "Routing expectations: time, what broken configurations are noticed, memory", Expect},
-	{"owner", "One owner at a time: fences, leases, hand-over and cost", Owner},
-	{"failover", "Failover between zones: plans, mixtures, what is served and kept near", Failover},
-	{"state", "What survives a restart: kills, ages, costs, and what it is worth", State}}
+var All = []Subsystem{{"budgets", "Team budgets and honest waits, on virtual time", Budgets, Budgets},
+	{"expect", "Routing expectations: time, what broken configurations are noticed, memory", Expect, shortExpect},
+	{"owner", "One owner at a time: fences, leases, hand-over and cost", Owner, shortOwner},
+	{"failover", "Failover between zones: plans, mixtures, what is served and kept near", Failover, shortFailover},
+	{"state", "What survives a restart: kills, ages, costs, and what it is worth", State, shortState}}
 
 // Budgets measures team budgets and waits.
 func Budgets() ([]Row, error) {
--- a/internal/measure/expect.go
+++ b/internal/measure/expect.go
@@ -13,7 +13,13 @@
 )
 
 // Expect measures the suite of the example deployment: it runs from the root.
-func Expect() ([]Row, error) {
+func Expect() ([]Row, error) { return expectations(true) }
+
+// shortExpect leaves out which broken configurations are noticed, nine tenths of the time, and what depends on the machine's pace or on
+// what else this process does.
+func shortExpect() ([]Row, error) { return expectations(false) }
+
+func expectations(whole bool) ([]Row, error) {
 	var u expect.Under
 	var err error
 	if u.Config, err = os.ReadFile("deploy/example.json"); err != nil {
@@ -48,25 +54,34 @@
 		return nil, err
 	}
 	found := expect.Count(expect.Check(u, []expect.Source{{Name: "planted", File: planted}}, expect.Options{}))
+	rows := []Row{AtLeast("expectations", float64(len(all)), 50),
+		AtLeast("of them passed", float64(expect.Count(all)[expect.Passed])/float64(len(all)), 1),
+		AtLeast("same outcomes on four cores and on all", same, 1),
+		Between("planted file of four: void", float64(found[expect.Void]), 2, 2),
+		Between("planted file of four: never exercised", float64(found[expect.Idle]), 1, 1),
+		Between("planted file of four: failed", float64(found[expect.Failed]), 1, 1)}
+	if !whole {
+		return rows, nil
+	}
+	rows = append(rows, AtMost("seconds for all on four cores", took, 60), AtMost("memory from the system at its peak (MB)", float64(memory.Sys)/(1<<20), 500))
+	broken, err := noticed(u, read())
+	return append(rows, broken...), err
+}
+
+// noticed breaks the configuration in one way after another and tells how many of these the suite notices.
+func noticed(under expect.Under, suite []expect.Source) ([]Row, error) {
 	// One seed is enough to notice a break, and three take three times as long.
-	mutants, err := expect.Mutate(u, read(), expect.Options{Seed: 1}, func(string) {})
+	mutants, err := expect.Mutate(under, suite, expect.Options{Seed: 1}, func(string) {})
 	if err != nil {
 		return nil, err
 	}
-	noticed := 0.0
+	count := 0.0
 	for _, m := range mutants {
 		if m.Err != nil || len(m.Noticed) > 0 {
-			noticed++
+			count++
 		}
 	}
-	return []Row{AtLeast("expectations", float64(len(all)), 50), AtMost("seconds for all on four cores", took, 60),
-		AtLeast("of them passed", float64(expect.Count(all)[expect.Passed])/float64(len(all)), 1),
-		AtLeast("same outcomes on four cores and on all", same, 1),
-		Figure("configurations broken", float64(len(mutants))), AtLeast("of them noticed", noticed/float64(len(mutants)), 1),
-		Between("planted file of four: void", float64(found[expect.Void]), 2, 2),
-		Between("planted file of four: never exercised", float64(found[expect.Idle]), 1, 1),
-		Between("planted file of four: failed", float64(found[expect.Failed]), 1, 1),
-		AtMost("memory from the system at its peak (MB)", float64(memory.Sys)/(1<<20), 500)}, nil
+	return []Row{Figure("configurations broken", float64(len(mutants))), AtLeast("of them noticed", count/float64(len(mutants)), 1)}, nil
 }
 
 const plantedFile = `{"given": {"seconds": 5, "traffic": [{"name": "t", "profile": "quick", "tenant": "depot", "rate": 20, "work": 0.1}]},
--- a/internal/measure/failover.go
+++ b/internal/measure/failover.go
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	virtual, err := each(
-		func() ([]Row, error) { return drawnDays(0, 600) },
+		func() ([]Row, error) { return drawnDays(0, 600, 500) },
 		func() ([]Row, error) { return calmDays(30) },
 		func() ([]Row, error) { return lostZones(60) },
 		func() ([]Row, error) { return flapping(20) },
@@ -67,10 +67,10 @@
 	return broken, planned, real, plans, err
 }
 
-func drawnDays(from, count uint64) ([]Row, error) {
+func drawnDays(from, count uint64, least float64) ([]Row, error) {
 	broken, planned, real, plans, err := DrawnDays(from, count)
 	return []Row{
-		AtLeast("drawn days: how many", float64(count), 500),
+		AtLeast("drawn days: how many", float64(count), least),
 		AtLeast("drawn days: plans", float64(plans), float64(count)),
 		AtMost("drawn days: planned over what a zone is taken to bear, any mixture", planned, 1+1e-6),
 		AtMost("drawn days: offered over what a zone can, for a second, by others", real, 1.05),
