TestWithdraw holds the writer in the middle of a write, by state and not by time

Seen: "what has begun to leave was taken back" on a busy machine. Cause: the test took twenty milliseconds without progress for a full socket; a writer that had not run yet looks the same, and what it has not begun to send is rightly taken back. Change: the connection under the writer takes half of the first bytes and nothing more until the test makes room. As strict: the same refusal is asked for in the middle of a write, the same parts are taken back behind it, and now all of the begun bytes have to arrive.

--- a/internal/transport/sockets_test.go
+++ b/internal/transport/sockets_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -146,6 +147,11 @@
 
 // accepted gives both ends of a connection that came in, with its reader's entries held back: deliver makes the next.
 func accepted(t *testing.T, lingering int64) (n *Net, c *Conn, s sink, there *net.TCPConn, deliver func()) {
+	return acceptedOver(t, lingering, func(conn *net.TCPConn) net.Conn { return conn })
+}
+
+// acceptedOver is accepted with something between the connection and what is tested.
+func acceptedOver(t *testing.T, lingering int64, over func(*net.TCPConn) net.Conn) (n *Net, c *Conn, s sink, there *net.TCPConn, deliver func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	n = NewNet(ctx, &group, make(Inbox), 1<<30, lingering)
@@ -166,7 +172,7 @@
 	}
 	s = make(sink, 100)
 	c = n.New(s, 1<<30)
-	c.Start(in)
+	c.Start(over(in.(*net.TCPConn)))
 	return n, c, s, out.(*net.TCPConn), func() { (<-n.inbox).Deliver() }
 }
 
@@ -211,25 +217,40 @@
 	})
 }
 
+// fullConn takes half of the first bytes written to it, and nothing more until there is room: the writer is in the middle of a write
+// for as long as a test wants.
+type fullConn struct {
+	*net.TCPConn
+	half, room chan struct{} // closed when half has left; by the test
+	once       sync.Once
+}
+
+func (f *fullConn) Write(b []byte) (int, error) {
+	sent := 0
+	f.once.Do(func() {
+		sent, _ = f.TCPConn.Write(b[:len(b)/2])
+		close(f.half)
+		<-f.room
+	})
+	n, err := f.TCPConn.Write(b[sent:])
+	return sent + n, err
+}
+
 // TestWithdraw: what waits behind a write that does not end is taken back whole, in any order, and what lies round it leaves;
 // what may have left is not.
 func TestWithdraw(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		_, c, _, there, _ := accepted(t, 4)
-		block := bytes.Repeat([]byte{'.'}, 1<<20)
-		end := int64(0)
-		for size, still := int64(-1), 0; still < 20; { // until the system takes no more
-			if c.Written(end) {
-				end, still = c.Append(block)+int64(len(block)), 0
-			}
-			time.Sleep(time.Millisecond)
-			if c.mu.Lock(); c.written == size {
-				still++
-			}
-			size = c.written
-			c.mu.Unlock()
-		}
-		if c.Withdraw(end-int64(len(block)), len(block)) {
+		full := &fullConn{half: make(chan struct{}), room: make(chan struct{})}
+		makeRoom := sync.OnceFunc(func() { close(full.room) })
+		defer makeRoom()
+		_, c, _, there, _ := acceptedOver(t, 4, func(conn *net.TCPConn) net.Conn {
+			full.TCPConn = conn
+			return full
+		})
+		block := bytes.Repeat([]byte{'.'}, 1<<10)
+		first := c.Append(block)
+		<-full.half
+		if c.Withdraw(first, len(block)) {
 			rt.Fatal("what has begun to leave was taken back")
 		}
 		type part struct {
@@ -253,8 +274,12 @@
 				want += p.text
 			}
 		}
+		makeRoom()
 		c.Finish()
 		all, err := io.ReadAll(there)
+		if begun := len(all) - len(bytes.TrimLeft(all, ".")); begun != len(block) {
+			rt.Errorf("%d bytes of %d arrived of what had begun to leave", begun, len(block))
+		}
 		if got := string(bytes.TrimLeft(all, ".")); got != want || err != nil {
 			rt.Errorf("%q arrived, %v; want %q", got, err, want)
 		}
