--- /dev/null
+++ b/cmd/dunereach/forms_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"testing"
+
+	"dunereach/internal/fake"
+	"dunereach/internal/thrift"
+)
+
+// message is a frame with the struct that a function appends.
+func message(kind thrift.Kind, name string, seq int32, arguments func(b []byte) []byte) []byte {
+	return thrift.End(append(arguments(thrift.Begin(nil, kind, name, seq)), byte(thrift.Stop)))
+}
+
+func appendMap(b []byte, pairs ...string) []byte {
+	return thrift.AppendPairs(thrift.AppendField(b, thrift.Map, 1), pairs...)
+}
+
+func appendBody(b []byte, body string) []byte {
+	return thrift.AppendBytes(thrift.AppendField(b, thrift.String, 2), body)
+}
+
+// appendUnknown appends fields that the service does not know, of every type.
+func appendUnknown(b []byte) []byte {
+	const id = 9
+	for kind, value := range map[thrift.Type][]byte{
+		thrift.Bool: {1}, thrift.Byte: {7}, thrift.Double: make([]byte, 8), thrift.I16: make([]byte, 2), thrift.I32: make([]byte, 4),
+		thrift.I64: make([]byte, 8), thrift.String: {0, 0, 0, 1, 'x'}, thrift.Struct: {byte(thrift.Bool), 0, 1, 1, 0},
+		thrift.Map:  {byte(thrift.Byte), byte(thrift.Bool), 0, 0, 0, 1, 7, 1},
+		thrift.Set:  {byte(thrift.I16), 0, 0, 0, 1, 0, 1},
+		thrift.List: {byte(thrift.List), 0, 0, 0, 1, byte(thrift.Byte), 0, 0, 0, 2, 1, 2},
+	} {
+		b = append(thrift.AppendField(b, kind, id), value...)
+	}
+	return b
+}
+
+// TestForms: requests in every form that the protocol allows are served as they are in the usual one, whole or in pieces of whatever
+// size, and several in one piece.
+func TestForms(t *testing.T) {
+	w := newTown(t, 1)
+	w.logged("serving")
+	const body = "SELECT 1 FROM sales_17.orders"
+	usual := func() []string {
+		w.refs++
+		return []string{"service", "lookup", "ref", fmt.Sprintf("%016x", w.refs), "allow", "30000", "project", "acme"}
+	}
+	forms := map[string]func(b []byte) []byte{
+		"usual":      func(b []byte) []byte { return appendBody(appendMap(b, usual()...), body) },
+		"body first": func(b []byte) []byte { return appendMap(appendBody(b, body), usual()...) },
+		"with estimates": func(b []byte) []byte {
+			return appendBody(appendMap(b, append(usual(), "effort", "820.0", "memory", "96")...), body)
+		},
+		"decimals": func(b []byte) []byte {
+			return appendBody(appendMap(b, append(usual(), "effort", "1.5e2", "memory", ".5")...), body)
+		},
+		"unknown names":  func(b []byte) []byte { return appendBody(appendMap(b, append(usual(), "trace", "", "", "x")...), body) },
+		"unknown fields": func(b []byte) []byte { return appendUnknown(appendBody(appendMap(appendUnknown(b), usual()...), body)) },
+		"capital digits": func(b []byte) []byte {
+			return appendBody(appendMap(b, append(usual()[:2], "ref", fmt.Sprintf("ABCDEF%010X", w.refs), "allow", "30000", "project", "acme")...), body)
+		},
+		"fields backwards": func(b []byte) []byte {
+			u := usual()
+			return appendBody(appendMap(b, u[6], u[7], u[4], u[5], u[2], u[3], u[0], u[1]), body)
+		},
+	}
+	for name, form := range forms {
+		for _, piece := range []int{1, 2, 5, 64, 1 << 20} {
+			t.Run(fmt.Sprintf("%s in pieces of %d", name, piece), func(t *testing.T) {
+				c := fake.NewClient(t, w.addr)
+				text := message(thrift.Call, "call", 1, form)
+				for len(text) > 0 {
+					n := min(piece, len(text))
+					c.Raw(text[:n])
+					text = text[n:]
+				}
+				s := w.hear("fetch")
+				if s.Body != body {
+					t.Errorf("the server got %q", s.Body)
+				}
+				s.Answer("served", "count=1", "x\t\t\n")
+				w.expect(c, served(1, "x\t\t\n"))
+				c.Leave()
+			})
+		}
+	}
+	t.Run("several in one piece", func(t *testing.T) {
+		c := fake.NewClient(t, w.addr)
+		one := message(thrift.Call, "call", 1, forms["usual"])
+		ask := message(thrift.Call, "health", 2, func(b []byte) []byte { return b })
+		two := message(thrift.Call, "call", 3, forms["body first"])
+		cancel := message(thrift.Oneway, "cancel", 4, func(b []byte) []byte {
+			return binary.BigEndian.AppendUint32(thrift.AppendField(b, thrift.I32, 1), 3)
+		})
+		three := message(thrift.Call, "call", 5, forms["usual"])
+		c.Raw(bytes.Join([][]byte{one, ask, two, cancel, three}, nil))
+		w.expect(c, `2/2 health{ 0={ 1="" 2=[ ] 3=1 } }`)
+		go answerAll(w) // the cancelled one may have left, or been taken back
+		got := map[string]bool{c.Next(): true}
+		got[c.Next()] = true
+		if !got[served(1, "x\t\t\n")] || !got[served(5, "x\t\t\n")] {
+			t.Errorf("the client got %v", got)
+		}
+	})
+}
