--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -93,6 +93,7 @@
 	{"attempts leave while the owner is behind its connections", "internal/router/behind.go", "\t\tr.pool.Hold()\n", "", "./internal/router"},
 	{"no resting connection makes room", "internal/backends/engines.go", "&& !p.makeRoom()", "", "./internal/backends"},
 	{"a stall is said each second", "internal/router/stalled.go", "\ts.said = true\n", "", "./internal/router"},
+	{"cold servers get four times their budget from all routers", "admission/brain.go", "const coldMargin = 0.5", "const coldMargin = 2.0", "./emulator/cluster"},
 	{"who comes early finds room", "waittime/waits.go", "if k < 0 || b.slots[k].due > now+early {", "if k < 0 {", "./waittime"},
 }
 
