--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -96,6 +96,7 @@
 	{"no resting connection makes room", "internal/backends/engines.go", "&& !p.makeRoom()", "", "./internal/backends"},
 	{"a stall is said each second", "internal/router/stalled.go", "\ts.said = true\n", "", "./internal/router"},
 	{"who comes early finds room", "waittime/estimator.go", "if k < 0 || b.reservations[k].due > now+earlyTolerance {", "if k < 0 {", "./waittime"},
+	{"cold servers get four times their budget from all routers", "admission/brain.go", "const coldMargin = 0.5", "const coldMargin = 2.0", "./emulator/cluster"},
 }
 
 // drawn tells whether a package's tests draw cases.
