--- a/internal/scale/control_cold.go
+++ b/internal/scale/control_cold.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	coldSettles  = 5 * time.Second // an owner waits out the grants of the one before it
-	coldMeasured = 4 * time.Second // eight rounds of each owner
+	coldSettles  = 4 * time.Second // the parts that are to be granted have been laid down by then
+	coldMeasured = 3 * time.Second // six rounds of each owner
 )
 
 // coldCounts are the cold databases at each size.
@@ -29,14 +29,20 @@
 		if err := f.Load(hollow.Demand{}); err != nil {
 			return nil, err
 		}
-		if _, err := f.grow(sizeBefore(sizes, k), size); err != nil {
+		// All end and begin anew: owners that end are missed sooner than tasks that nobody wants any more are released.
+		if _, err := f.CrashRouters(numbers(1, sizeBefore(sizes, k))); err != nil {
+			return nil, err
+		}
+		if _, err := f.grow(0, size); err != nil {
 			return nil, err
 		}
 		for _, cold := range coldCounts {
 			if err := f.load(hollow.Demand{Cold: cold, Generation: k}); err != nil {
 				return nil, fmt.Errorf("%d routers, %d cold: %w", size, cold, err)
 			}
-			time.Sleep(coldSettles)
+			if cold > 0 {
+				time.Sleep(coldSettles)
+			}
 			w, err := f.measure(size, coldMeasured)
 			if err != nil {
 				return nil, fmt.Errorf("%d routers, %d cold: %w", size, cold, err)
