--- a/internal/scale/control_idle.go
+++ b/internal/scale/control_idle.go
@@ -73,13 +73,25 @@
 
 // windowRows are the fits of what was used, by number of routers.
 func windowRows(name string, sizes []int, all []window) (rows []measure.Row) {
-	fit := func(what string, per, bound float64, of func(window) float64) {
+	line := func(of func(k int, w window) float64) Fit {
 		var xs, ys []float64
 		for k, w := range all {
-			xs, ys = append(xs, float64(sizes[k])), append(ys, of(w))
+			xs, ys = append(xs, float64(sizes[k])), append(ys, of(k, w))
 		}
-		rows = append(rows, FitLine(xs, ys).Rows(name+": "+what, "routers", per)...)
-		rows = append(rows, bounded(fmt.Sprintf("%s: %s: at %d", name, what, lastOf(sizes)), ys[len(ys)-1], bound))
+		return FitLine(xs, ys)
+	}
+	at := func(what string, value, bound float64) {
+		rows = append(rows, bounded(fmt.Sprintf("%s: %s: at %d", name, what, lastOf(sizes)), value, bound))
+	}
+	largest := all[len(all)-1]
+	fit := func(what string, per, bound float64, of func(window) float64) {
+		rows = append(rows, line(func(_ int, w window) float64 { return of(w) }).Rows(name+": "+what, "routers", per)...)
+		at(what, of(largest), bound)
+	}
+	// What each router uses is fitted as the sum of all: the intercept is what the processes use without routers.
+	each := func(what string, bound float64, of func(window) float64) {
+		rows = append(rows, line(func(k int, w window) float64 { return of(w) * float64(sizes[k]) }).Rows(name+": router, "+what, "router", 1)...)
+		at("router, "+what, of(largest), bound)
 	}
 	fit("leader, core", 1000, 1, func(w window) float64 { return w.leaderCore })
 	fit("leader, MB", 1000, none, func(w window) float64 { return w.leaderMB })
@@ -89,10 +101,10 @@
 	fit("follower, core", 1000, none, func(w window) float64 { return w.followerCore })
 	fit("follower, MB", 1000, none, func(w window) float64 { return w.followerMB })
 	fit("follower, KB a second to the disk", 1000, none, func(w window) float64 { return w.followerDisk / 1000 })
-	fit("router, core", 1000, ControlCore, func(w window) float64 { return w.routerCore })
-	fit("router, MB", 1000, ControlMemoryMB, func(w window) float64 { return w.routerMB })
-	fit("router, requests a second", 1000, none, func(w window) float64 { return w.routerRequests })
-	fit("router, bytes a second", 1000, ControlBytes, func(w window) float64 { return w.routerBytes })
+	each("core", ControlCore, func(w window) float64 { return w.routerCore })
+	each("MB", ControlMemoryMB, func(w window) float64 { return w.routerMB })
+	each("requests a second", none, func(w window) float64 { return w.routerRequests })
+	each("bytes a second", ControlBytes, func(w window) float64 { return w.routerBytes })
 	return rows
 }
 
