A round of all 1,600 routers gets through: letters have room, in linear time

Seen: at 1,600 routers and one cold database only 13.5 % of the routers had a granted part, at eight 0.06 %; at 100 routers all. An owner is answered by all routers at once, and its box and its requests held 512 letters. Each letter also walked and sorted all sessions. MostLetters is a round of the largest fleet, a box has room for four; addressees are looked up once a request. TestRoundOfAllRouters fails without (1600 letters, 512 at most).

--- a/fleet/coordinator/keeping_test.go
+++ b/fleet/coordinator/keeping_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"runtime"
+	"slices"
 	"testing"
 
 	"dunereach/fleet/registry"
@@ -198,36 +199,95 @@
 	}
 }
 
+// crowd is a single coordinator with many sessions.
+type crowd struct {
+	*lone
+	beats []Beat
+	views []View // the last of each
+}
+
+// newCrowd has so many sessions open that want a task and would own tasks of that kind.
+func newCrowd(t *testing.T, sessions int, kind, task string) *crowd {
+	c := &crowd{lone: newLone(t), beats: make([]Beat, sessions), views: make([]View, sessions)}
+	for n := range c.beats {
+		c.beats[n] = Beat{Name: fmt.Sprint("n", n), Incarnation: 1, Stands: []string{kind}, Wants: []Want{{Work: task}}}
+	}
+	c.run(5)
+	c.heartbeats() // each is asked whether it is there
+	c.heartbeats()
+	return c
+}
+
+// heartbeats of all sessions, answered.
+func (c *crowd) heartbeats() {
+	c.t.Helper()
+	first := c.request + 1
+	for n := range c.beats {
+		c.request++
+		c.k.Beat(c.now, c.request, &c.beats[n])
+	}
+	c.run(0.6) // longer than they are held
+	for n := range c.beats {
+		answer := c.answers[first+uint64(n)]
+		v, ok := answer.Value.(View)
+		if !ok {
+			c.t.Fatalf("heartbeat %d: %v", n, answer.Err)
+		}
+		c.views[n], c.beats[n].Session, c.beats[n].Got = v, v.Session, v.Number
+	}
+}
+
+// TestRoundOfAllRouters: all routers of the largest fleet answer an owner's round at once, and it grants to each: no letter is lost.
+func TestRoundOfAllRouters(t *testing.T) {
+	const routers, task = 1600, "warmth/1"
+	c := newCrowd(t, routers, "warmth", task)
+	c.heartbeats()
+	owner := slices.IndexFunc(c.views, func(v View) bool { return len(v.Mine) > 0 })
+	if owner < 0 {
+		t.Fatal("nobody owns the task")
+	}
+	fence := c.views[owner].Mine[0].Fence
+	post := func(from int, letters []Letter) {
+		c.request++
+		c.k.Post(c.now, c.request, &Mail{Session: c.beats[from].Session, Incarnation: 1, Letters: letters})
+		c.carry()
+		if a := c.answers[c.request]; a.Err != nil || len(a.Value.(Posted).Old) > 0 {
+			t.Fatalf("%+v", a)
+		}
+	}
+	var grants []Letter
+	for n := range routers {
+		post(n, []Letter{{Work: task, Body: []byte("pledge")}})
+		grants = append(grants, Letter{Work: task, Fence: fence, To: c.beats[n].Name, Body: []byte("grant")})
+	}
+	post(owner, grants)
+	c.heartbeats()
+	for n, v := range c.views {
+		want := 1
+		if n == owner {
+			want += routers
+		}
+		if len(v.Mail) != want {
+			t.Fatalf("router %d got %d letters of %d", n, len(v.Mail), want)
+		}
+	}
+	post(owner, []Letter{{Work: task, Fence: fence, To: "*", Body: []byte("round")}})
+	c.heartbeats()
+	for n, v := range c.views {
+		if len(v.Mail) != 1 {
+			t.Fatalf("router %d heard of %d rounds", n, len(v.Mail))
+		}
+	}
+}
+
 // TestHeartbeatsGrowLinearly: what a heartbeat costs does not grow with the sessions, also while a task is wanted that nobody can
 // own, as the operators' words are.
 func TestHeartbeatsGrowLinearly(t *testing.T) {
 	perHeartbeat := func(sessions int) float64 {
-		l := newLone(t)
-		l.run(5)
-		all := make([]Beat, sessions)
-		for n := range all {
-			all[n] = Beat{Name: fmt.Sprint("n", n), Incarnation: 1, Stands: []string{"plan"}, Wants: []Want{{Work: "words/zones"}}}
-		}
-		heartbeats := func() {
-			first := l.request + 1
-			for n := range all {
-				l.request++
-				l.k.Beat(l.now, l.request, &all[n])
-			}
-			l.run(0.6) // longer than they are held
-			for n := range all {
-				v, ok := l.answers[first+uint64(n)].Value.(View)
-				if !ok {
-					t.Fatalf("heartbeat %d: %v", n, l.answers[first+uint64(n)].Err)
-				}
-				all[n].Session, all[n].Got = v.Session, v.Number
-			}
-		}
-		heartbeats() // each is asked whether it is there
-		heartbeats()
+		c := newCrowd(t, sessions, "plan", "words/zones")
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		heartbeats()
+		c.heartbeats()
 		runtime.ReadMemStats(&after)
 		return float64(after.TotalAlloc-before.TotalAlloc) / float64(sessions)
 	}
--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -175,6 +175,16 @@
 	c.held = nil
 }
 
+// addressees of letters: all sessions in order, and those of each name.
+func (k *Keeper) addressees() (ids []uint64, named map[string][]uint64) {
+	ids, named = k.ids(), make(map[string][]uint64, len(k.clients))
+	for _, id := range ids {
+		name := k.clients[id].name
+		named[name] = append(named[name], id)
+	}
+	return ids, named
+}
+
 // Post hands letters on. Only who owns a work may write to those that want it.
 func (k *Keeper) Post(now float64, request uint64, m *Mail) {
 	k.now = max(k.now, now)
@@ -194,6 +204,8 @@
 		return
 	}
 	var p Posted
+	var ids []uint64 // of all sessions, and by name: looked for once, also for a letter to each of them
+	var named map[string][]uint64
 	for _, l := range m.Letters {
 		w := k.rec.Work(l.Work)
 		if w == nil || len(l.Body) > MostBody {
@@ -211,9 +223,17 @@
 			}
 			continue
 		}
-		for _, id := range k.ids() {
-			c := k.clients[id]
-			if c.name == l.To || l.To == "*" && c.wantsWork(l.Work) {
+		if named == nil {
+			ids, named = k.addressees()
+		}
+		for _, id := range named[l.To] {
+			k.drop(id, l)
+		}
+		if l.To != "*" {
+			continue
+		}
+		for _, id := range ids {
+			if c := k.clients[id]; c.name != l.To && c.wantsWork(l.Work) {
 				k.drop(id, l)
 			}
 		}
@@ -231,7 +251,7 @@
 	if c == nil {
 		return
 	}
-	if c.box = append(c.box, l); len(c.box) > MostLetters {
+	if c.box = append(c.box, l); len(c.box) > mostBox {
 		c.box = slices.Delete(c.box, 0, 1)
 	}
 	if c.held != nil {
--- a/fleet/coordinator/words.go
+++ b/fleet/coordinator/words.go
@@ -1,6 +1,9 @@
 package coordinator
 
-import "dunereach/fleet/lease"
+import (
+	"dunereach/fleet/lease"
+	"dunereach/fleet/registry"
+)
 
 // What sessions and keepers say to each other. They travel as JSON (internal/coordserver); here they are plain values.
 
@@ -111,7 +114,11 @@
 // Bounds on what one session may say.
 const (
 	MostWants   = 128
-	MostLetters = 512  // at once, and in a session's box; newer ones push out older
-	MostBody    = 8192 // bytes of a letter
+	MostLetters = registry.MostRouters // at once: an owner's grants to all routers, or a pledge for each cold database
+	MostBody    = 8192                 // bytes of a letter
 	MostStands  = 16
 )
+
+// mostBox is how many letters wait for one session; newer ones push out older. All routers answer an owner's round at once, and
+// one router may own some tasks.
+const mostBox = 4 * registry.MostRouters
