Scale tests: the real router as a process, by connections, databases and requests

Starts bin/dunereach with stand-ins on loopback and reads its processor time, resident memory and descriptors from the kernel. The runs on virtual time become a part of their own, `duneshow scale service`.

--- a/cmd/duneshow/scale.go
+++ b/cmd/duneshow/scale.go
@@ -15,7 +15,7 @@
 	short := false
 	command := &cobra.Command{
 		Use:   "scale [PART ...]",
-		Short: "Measure how cost grows with the size of a fleet; parts are datapath, control and subset",
+		Short: "Measure how cost grows with the size of a fleet; parts are datapath, service, control and subset",
 	}
 	command.Flags().BoolVar(&short, "short", false, "the form that CI runs: smaller sizes, under half a minute a part")
 	command.RunE = func(_ *cobra.Command, names []string) error {
--- a/internal/scale/datapath.go
+++ b/internal/scale/datapath.go
@@ -2,19 +2,17 @@
 
 import "dunereach/internal/measure"
 
-// DataPath measures one router's data path: decisions, connections, configuration, and what a subset of the databases does to
-// service.
+// DataPath measures one router's data path: decisions, memory, the list of databases, connections, and requests through the real
+// process.
 func DataPath(short bool) ([]measure.Row, error) {
 	var rows []measure.Row
-	for _, part := range []func(short bool) ([]measure.Row, error){
-		decisions, moduleMemory, listChanges, func(bool) ([]measure.Row, error) { return listByDNS() },
-		serviceBySubset,
-	} {
+	for _, part := range []func(short bool) ([]measure.Row, error){decisions, moduleMemory, listChanges, listByDNS, listInFile,
+		clientConnections, databaseConnections, requestCost} {
 		some, err := part(short)
+		rows = append(rows, some...)
 		if err != nil {
 			return rows, err
 		}
-		rows = append(rows, some...)
 	}
 	return rows, nil
 }
--- a/internal/scale/datapath_list.go
+++ b/internal/scale/datapath_list.go
@@ -53,7 +53,7 @@
 }
 
 // listByDNS is how many databases fit one answer, by the length of their names, and how much of the target's list that is.
-func listByDNS() ([]measure.Row, error) {
+func listByDNS(bool) ([]measure.Row, error) {
 	var rows []measure.Row
 	for _, nameLength := range []int{5, 12, 36} { // short, as in the examples; a host's name; a UUID
 		most := mostListed(nameLength)
--- a/internal/scale/datapath_module.go
+++ b/internal/scale/datapath_module.go
@@ -178,6 +178,9 @@
 		if failed != nil {
 			return nil, failed
 		}
+		for k := range costs {
+			costs[k] /= 1000 // ms
+		}
 		some, err := squareRows(fmt.Sprintf("owner busy with a list of which %s is new, ms", change.name), sizes, costs)
 		if err != nil {
 			return nil, err
@@ -187,15 +190,13 @@
 	return rows, nil
 }
 
-// squareRows prints costs in microseconds as milliseconds, with a line over the square of the size: each database of the list is
-// compared with each that is known.
+// squareRows are costs by size and a line over the square of the size, where each database is compared with each.
 func squareRows(name string, sizes []int, costs []float64) ([]measure.Row, error) {
-	const msPerUs = 1e-3
 	var rows []measure.Row
 	var points []Point
 	for k, size := range sizes {
-		rows = append(rows, measure.Figure(fmt.Sprintf("%s: %d", name, size), costs[k]*msPerUs))
-		points = append(points, Point{float64(size) * float64(size), costs[k] * msPerUs})
+		rows = append(rows, measure.Figure(fmt.Sprintf("%s: %d", name, size), costs[k]))
+		points = append(points, Point{float64(size) * float64(size), costs[k]})
 	}
 	fit, err := FitRelative(points)
 	if err != nil {
@@ -204,5 +205,6 @@
 	span := fmt.Sprintf("%s: fit over the square, from %d to %d, ", name, sizes[0], sizes[len(sizes)-1])
 	return append(rows,
 		measure.Figure(span+"slope for a million", fit.Slope*1e6),
-		measure.Figure(span+"its standard error", fit.SlopeError*1e6)), nil
+		measure.Figure(span+"slope's standard error", fit.SlopeError*1e6),
+		measure.Figure(span+"intercept", fit.Intercept)), nil
 }
--- /dev/null
+++ b/internal/scale/datapath_process.go
@@ -0,0 +1,218 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"dunereach/internal/discovery"
+	"dunereach/internal/fake"
+)
+
+// routerProcess is the real router as a process, with stand-ins on loopback for the databases and the name server.
+type routerProcess struct {
+	desk    *fake.Desk
+	folder  string
+	config  string // path
+	addr    string
+	options routerOptions
+	names   *fake.NameServer
+	heard   chan fake.Said
+	command *exec.Cmd
+	ended   chan error
+	log     chan string // lines
+	started time.Time
+}
+
+// routerOptions are what a router is started with.
+type routerOptions struct {
+	databases   int // in the list
+	descriptors int
+	revision    uint32 // of the list, 0: 1
+	renamed     int    // databases of the list with new names
+	sharers     int    // routers that share the databases, as the settings say, 0: 1
+}
+
+const (
+	// standIns is how many stand-ins of databases listen. A longer list names each at several places.
+	standIns = 16
+	// routerDescriptors is the bound on a router's descriptors where it is not what is measured.
+	routerDescriptors = 16384
+	// patience is how long a router may take to start and to take over a configuration.
+	patience = 20 * time.Second
+)
+
+// routerProgram is where the router's binary stands: in bin/ below the working directory, or beside this program.
+func routerProgram() (string, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	for _, path := range []string{"bin/dunereach", filepath.Join(filepath.Dir(self), "dunereach")} {
+		if _, err := os.Stat(path); err == nil {
+			return filepath.Abs(path)
+		}
+	}
+	return "", errors.New("no bin/dunereach: `make build` makes it")
+}
+
+// startRouter starts one and waits until it says that it is ready.
+func startRouter(options routerOptions) (*routerProcess, error) {
+	program, err := routerProgram()
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "dunereach-scale")
+	if err != nil {
+		return nil, err
+	}
+	r := &routerProcess{desk: &fake.Desk{}, folder: folder, config: filepath.Join(folder, "config.json"), options: options,
+		heard: make(chan fake.Said, 4096), ended: make(chan error, 1), log: make(chan string, 4096),
+		addr: fmt.Sprintf("127.%d.%d.%d:4100", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))}
+	r.names = fake.NewNameServer(r.desk, discovery.Record)
+	r.names.Set(1) // the list that the configuration has
+	r.desk.Cleanup(func() { os.RemoveAll(folder) })
+	var endpoints []string
+	for range standIns {
+		endpoints = append(endpoints, fake.NewEngine(r.desk, r.heard).Addr)
+	}
+	if err := r.configure(options, endpoints); err != nil {
+		r.desk.End()
+		return nil, err
+	}
+	r.command = exec.Command(program)
+	r.command.Env = append(os.Environ(), "BALANCER_NAME=scale", "BALANCER_LISTEN="+r.addr, "BALANCER_CONFIG="+r.config)
+	output, input := io.Pipe()
+	r.command.Stdout, r.command.Stderr = input, input
+	go r.readLog(output)
+	r.started = time.Now()
+	if err := r.command.Start(); err != nil {
+		r.desk.End()
+		return nil, err
+	}
+	go func() {
+		err := r.command.Wait()
+		input.Close()
+		r.ended <- err
+	}()
+	if _, err := r.awaitLog("serving"); err != nil {
+		r.stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+// readLog hands lines on. Those that nobody waits for are dropped once the channel is full.
+func (r *routerProcess) readLog(output io.Reader) {
+	defer close(r.log)
+	for lines := bufio.NewScanner(output); lines.Scan(); {
+		select {
+		case r.log <- lines.Text():
+		default:
+		}
+	}
+}
+
+// awaitLog waits for a line with that text.
+func (r *routerProcess) awaitLog(text string) (string, error) {
+	last, timeout := "", time.After(patience)
+	for {
+		select {
+		case line, more := <-r.log:
+			if !more {
+				return "", fmt.Errorf("the router ended before it said %q: %s", text, last)
+			}
+			if last = line; strings.Contains(line, text) {
+				return line, nil
+			}
+		case <-timeout:
+			return "", fmt.Errorf("the router did not say %q in %v, but last %q", text, patience, last)
+		}
+	}
+}
+
+// stop ends it at once, and what was begun for it: nothing is measured of its end.
+func (r *routerProcess) stop() {
+	defer r.desk.End()
+	r.command.Process.Kill()
+	<-r.ended
+}
+
+// configure writes its configuration.
+func (r *routerProcess) configure(options routerOptions, endpoints []string) error {
+	revision := max(options.revision, 1)
+	targets := make([]map[string]any, options.databases)
+	for k := range targets {
+		name := fmt.Sprintf("db-%d", k)
+		if k < options.renamed {
+			name = fmt.Sprintf("db-%d-%d", k, revision)
+		}
+		targets[k] = map[string]any{"uid": name, "endpoint": endpoints[k%len(endpoints)], "az": "east", "model": "std", "pod_group": 0,
+			"state": "ready", "capacity_hint": 8, "boot_ms": 0}
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": "scale", "listen": r.addr, "seed": "8c1f30d27a5be964", "nameserver": r.names.Addr,
+		"limits": map[string]any{"cores": 1, "memory_mb": 1024, "sockets": options.descriptors},
+		"known": map[string]any{"rev": revision, "notices": []any{map[string]any{"rev": revision,
+			"pool": map[string]any{"rev": revision, "all": true, "targets": targets}}}},
+		"settings": json.RawMessage(fmt.Sprintf(processSettings, max(options.sharers, 1)))})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(r.config, text, 0o600)
+}
+
+// processSettings are the settings, but for the routers that share the databases.
+const processSettings = `{"Balancers":%d,"Tick":5,"Dcs":["east"],"Kinds":["std"],"Discovery":"push","OverShareWorth":1,
+	"Classes":[{"Name":"lookup","Aim":5000,"Deadline":20000,"Effect":"safe","Worth":1}],
+	"FamilyInfo":{"CpuOfKind":[8],"RanksHeeded":true},"Realms":[{"Name":"acme","QuotaPerS":1000000}],
+	"Limits":{"ConnIdle":30000,"ConnectTimeout":5000,"MaxStreams":100,"MaxRetryAfter":500,"OpenCap":100000,"RetryAfter":true,"SendCap":4},
+	"Obligations":{"ColdFrom":0.35,"DrainGrace":250,"Fall":1000,"FallMultiple":2,"WarmUp":15000}}`
+
+// usage is what the kernel counts of a process.
+type usage struct {
+	Processor   time.Duration // user and system, all threads that live
+	ResidentKB  float64
+	Descriptors float64
+}
+
+// used reads what the process uses now.
+func (r *routerProcess) used() (usage, error) {
+	folder := filepath.Join("/proc", strconv.Itoa(r.command.Process.Pid))
+	u := usage{}
+	threads, err := filepath.Glob(filepath.Join(folder, "task/*/schedstat"))
+	if err != nil || len(threads) == 0 {
+		return u, fmt.Errorf("%s: no threads: %v", folder, err)
+	}
+	for _, path := range threads {
+		text, err := os.ReadFile(path)
+		var nanoseconds int64
+		if err == nil {
+			_, err = fmt.Sscan(string(text), &nanoseconds)
+		}
+		if err != nil {
+			return u, err
+		}
+		u.Processor += time.Duration(nanoseconds)
+	}
+	status, err := os.ReadFile(filepath.Join(folder, "status"))
+	if err != nil {
+		return u, err
+	}
+	_, after, _ := strings.Cut(string(status), "VmRSS:")
+	if _, err := fmt.Sscan(after, &u.ResidentKB); err != nil {
+		return u, fmt.Errorf("%s/status: VmRSS: %v", folder, err)
+	}
+	open, err := os.ReadDir(filepath.Join(folder, "fd"))
+	u.Descriptors = float64(len(open))
+	return u, err
+}
--- /dev/null
+++ b/internal/scale/datapath_process_test.go
@@ -0,0 +1,70 @@
+package scale
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// buildRouter builds the router where routerProgram looks for it.
+func buildRouter(t *testing.T) {
+	t.Helper()
+	folder := t.TempDir()
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", filepath.Join(folder, "bin")+"/", "dunereach/cmd/dunereach").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	t.Chdir(folder)
+}
+
+// A real router serves what the rig asks, its use is read from the kernel, and a list read anew is in force once renew returns.
+func TestRouterProcess(t *testing.T) {
+	buildRouter(t)
+	r, err := startRouter(routerOptions{databases: 40, descriptors: 1024})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.answerAfter(ctx, 0)
+	before, err := r.used()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const connections = 30
+	clients, err := r.openClients(connections)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if good := askEach(clients); good != connections {
+		t.Errorf("%d of %d requests were completed", good, connections)
+	}
+	if good := paced(clients, 200, 300*time.Millisecond); good < 55 || good > 65 {
+		t.Errorf("200 requests a second for 0.3 s: %d were completed", good)
+	}
+	after, err := r.used()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if opened := after.Descriptors - before.Descriptors; opened < connections+1 || opened > 2*connections+standIns {
+		t.Errorf("%v more descriptors for %d clients", opened, connections)
+	}
+	if after.Processor <= before.Processor || after.ResidentKB < 1000 {
+		t.Errorf("use before %+v, after %+v", before, after)
+	}
+	if took, err := r.renew(1); err != nil || took <= 0 {
+		t.Errorf("a configuration read anew: %v, %v", took, err)
+	}
+}
+
+// As many requests at once as there are databases reach one each.
+func TestRequestsAtOnceReachEachDatabase(t *testing.T) {
+	const databases = 60
+	buildRouter(t)
+	if _, came, err := reachAll(databases, 1024); err != nil || came != databases {
+		t.Errorf("%d of %d requests reached a database: %v", came, databases, err)
+	}
+}
--- /dev/null
+++ b/internal/scale/datapath_sockets.go
@@ -0,0 +1,294 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"dunereach/internal/measure"
+)
+
+// clientsPerRouter is how many client connections a router has at the target.
+const clientsPerRouter = float64(TargetClientConnections) / TargetRouters
+
+// connectionCost is what a router uses with so many client connections.
+type connectionCost struct {
+	idle, asked         usage // after a health check on each, and after a request on each
+	idleCore, completed float64
+}
+
+// clientConnections are a router's memory, descriptors and processor time by its client connections.
+func clientConnections(short bool) ([]measure.Row, error) {
+	sizes := []int{250, 1000, 2313, 4626, 8000}
+	if short {
+		sizes = []int{100, 300, 600, 1000}
+	}
+	var idle, asked, descriptors, idleCores []float64
+	unserved := 0.0
+	for _, size := range sizes {
+		cost, err := costOfConnections(size)
+		if err != nil {
+			return nil, fmt.Errorf("%d client connections: %w", size, err)
+		}
+		idle, asked = append(idle, cost.idle.ResidentKB), append(asked, cost.asked.ResidentKB)
+		descriptors, idleCores = append(descriptors, cost.idle.Descriptors), append(idleCores, cost.idleCore*1000)
+		unserved = max(unserved, float64(size)-cost.completed)
+	}
+	rows, idleFit, err := slopeRows("resident KB, by idle client connections", sizes, idle)
+	if err != nil {
+		return nil, err
+	}
+	some, askedFit, err := slopeRows("resident KB, by client connections with a request each", sizes, asked)
+	if err != nil {
+		return nil, err
+	}
+	rows = append(rows, some...)
+	some, descriptorFit, err := slopeRows("descriptors, by client connections", sizes, descriptors)
+	if err != nil {
+		return nil, err
+	}
+	rows = append(rows, some...)
+	some, _, err = slopeRows("thousandths of a core, by idle client connections", sizes, idleCores)
+	if err != nil {
+		return nil, err
+	}
+	rows = append(rows, some...)
+	third := clientsPerRouter * 3 / 2
+	return append(rows,
+		measure.AtMost("requests on connections that brought no result, most of all sizes", unserved, 0),
+		measure.Between("descriptors a client connection", descriptorFit.Slope, 0.98, 1.02),
+		measure.Figure("resident MB at the target's 2,313 client connections, idle", idleFit.At(clientsPerRouter)/1000),
+		measure.Figure("resident MB at the target's 2,313 client connections, with a request each", askedFit.At(clientsPerRouter)/1000),
+		measure.Figure("resident MB with a third of the routers lost (3,469), with a request each", askedFit.At(third)/1000),
+		measure.Figure("descriptors that the settings must allow for those (clients get half)", 2*third)), nil
+}
+
+// costOfConnections starts a router, opens connections and has each ask once.
+func costOfConnections(size int) (cost connectionCost, err error) {
+	const databases, moment = 8, 500 * time.Millisecond
+	r, err := startRouter(routerOptions{databases: databases, descriptors: routerDescriptors})
+	if err != nil {
+		return cost, err
+	}
+	defer r.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.answerAfter(ctx, 0)
+	clients, err := r.openClients(size)
+	if err != nil {
+		return cost, err
+	}
+	if cost.idle, err = r.used(); err != nil {
+		return cost, err
+	}
+	time.Sleep(moment)
+	later, err := r.used()
+	if err != nil {
+		return cost, err
+	}
+	cost.idleCore = (later.Processor - cost.idle.Processor).Seconds() / moment.Seconds()
+	cost.completed = float64(askEach(clients))
+	cost.asked, err = r.used()
+	return cost, err
+}
+
+// databaseConnections are a router's memory and descriptors by the databases that it has a connection to: as many requests are
+// out at once as there are databases. The last row has fewer descriptors than databases.
+func databaseConnections(short bool) ([]measure.Row, error) {
+	sizes := []int{64, 250, 1000, 2000}
+	if short {
+		sizes = []int{32, 64, 128, 250}
+	}
+	var resident, descriptors []float64
+	for _, size := range sizes {
+		u, came, err := reachAll(size, routerDescriptors)
+		if err != nil {
+			return nil, fmt.Errorf("%d databases: %w", size, err)
+		}
+		if came < size {
+			return nil, fmt.Errorf("%d of %d requests reached a database", came, size)
+		}
+		resident, descriptors = append(resident, u.ResidentKB), append(descriptors, u.Descriptors)
+	}
+	rows, _, err := slopeRows("resident KB, by databases connected to", sizes, resident)
+	if err != nil {
+		return nil, err
+	}
+	some, _, err := slopeRows("descriptors, by databases connected to", sizes, descriptors)
+	if err != nil {
+		return nil, err
+	}
+	rows = append(rows, some...)
+	const few = 1024 // descriptors, the usual limit of a process
+	most := sizes[len(sizes)-1]
+	_, came, err := reachAll(most, few)
+	if err != nil {
+		return nil, err
+	}
+	return append(rows, measure.Figure(fmt.Sprintf("of %d requests at once for %d databases, those that reach one with %d descriptors", most, most, few),
+		float64(came))), nil
+}
+
+// reachAll starts a router and has as many requests out at once as there are databases. It gives what the router uses then, and how
+// many reached a database.
+func reachAll(databases, descriptors int) (u usage, came int, err error) {
+	const perConnection, wait = 25, 5 * time.Second // of 32 calls that may be open on one
+	r, err := startRouter(routerOptions{databases: databases, descriptors: descriptors})
+	if err != nil {
+		return u, 0, err
+	}
+	defer r.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clients, err := r.openClients((databases + perConnection - 1) / perConnection)
+	if err != nil {
+		return u, 0, err
+	}
+	for k := range databases {
+		ask(clients[k/perConnection])
+	}
+	came = r.answerTogether(ctx, databases, wait)
+	u, err = r.used()
+	return u, came, err
+}
+
+// listInFile is a router's start and memory by the databases in its configuration, with the target's routers in the settings, and
+// the time until a signal to read it again, with one new database, has been acted on.
+func listInFile(short bool) ([]measure.Row, error) {
+	sizes := []int{8, 72, 500, 2000, TargetDatabases}
+	if short {
+		sizes = []int{8, 72, 500, TargetDatabases}
+	}
+	var resident, started, processor, renewed []float64
+	for _, size := range sizes {
+		r, err := startRouter(routerOptions{databases: size, descriptors: routerDescriptors, sharers: TargetRouters})
+		if err != nil {
+			return nil, err
+		}
+		up := time.Since(r.started)
+		u, err := r.used()
+		took := time.Duration(0)
+		if err == nil {
+			took, err = r.renew(1)
+		}
+		r.stop()
+		if err != nil {
+			return nil, fmt.Errorf("%d databases: %w", size, err)
+		}
+		resident, started = append(resident, u.ResidentKB), append(started, up.Seconds()*1000)
+		processor, renewed = append(processor, u.Processor.Seconds()*1000), append(renewed, took.Seconds()*1000)
+	}
+	rows, residentFit, err := slopeRows("resident KB, by databases in the list", sizes, resident)
+	if err != nil {
+		return nil, err
+	}
+	for _, series := range []struct {
+		name  string
+		costs []float64
+	}{{"ms of processor time until it serves, by databases in the list", processor}, {"ms until it serves, by databases in the list", started},
+		{"ms from a signal to a new list in force, by databases in the list", renewed}} {
+		some, err := squareRows(series.name, sizes, series.costs)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, some...)
+	}
+	const inForce = 5000 // ms, everywhere
+	return append(rows,
+		measure.Figure("resident MB at rest with all databases of the target", residentFit.At(TargetDatabases)/1000),
+		measure.Figure("resident MB at rest with 64 databases", residentFit.At(64)/1000),
+		measure.AtMost("ms from a signal to a new list in force, one process, whole pool", renewed[len(renewed)-1], inForce)), nil
+}
+
+// renew writes a configuration in which so many databases are new, signals, and waits until the router says that it has it.
+func (r *routerProcess) renew(renamed int) (time.Duration, error) {
+	options := r.options
+	options.revision, options.renamed = 2, renamed
+	if err := r.configure(options, []string{"127.0.0.1:4100"}); err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	if err := r.command.Process.Signal(syscall.SIGHUP); err != nil {
+		return 0, err
+	}
+	_, err := r.awaitLog("new configuration")
+	return time.Since(began), err
+}
+
+// errServed is returned where a router completes fewer requests than it was asked.
+var errServed = errors.New("requests were not completed")
+
+// requestCost is the processor time of a router for a request, from client to database and back, by the requests a second. Each
+// pool is shared by as many routers as a subset of that size would be.
+func requestCost(short bool) ([]measure.Row, error) {
+	pools, rates, window := []int{8, 64, 500, TargetDatabases}, []int{0, 250, 500, 750, 1000}, 3*time.Second
+	if short {
+		pools, rates, window = []int{8, 64}, []int{0, 300, 600, 900}, 500*time.Millisecond
+	}
+	var rows []measure.Row
+	for _, pool := range pools {
+		some, err := requestCostOver(pool, rates, window)
+		if err != nil {
+			return rows, fmt.Errorf("requests over %d databases: %w", pool, err)
+		}
+		rows = append(rows, some...)
+	}
+	return rows, nil
+}
+
+func requestCostOver(pool int, rates []int, window time.Duration) ([]measure.Row, error) {
+	const clientCount, atDatabase, warmUp = 64, 20 * time.Millisecond, 500 * time.Millisecond
+	r, err := startRouter(routerOptions{databases: pool, descriptors: routerDescriptors, sharers: max(pool*TargetRouters/TargetDatabases, 1)})
+	if err != nil {
+		return nil, err
+	}
+	defer r.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.answerAfter(ctx, atDatabase)
+	clients, err := r.openClients(clientCount)
+	if err != nil {
+		return nil, err
+	}
+	paced(clients, statementsPerRouter, warmUp)
+	var points []Point
+	var rows []measure.Row
+	least := 1.0
+	for _, rate := range rates {
+		before, err := r.used()
+		if err != nil {
+			return nil, err
+		}
+		began := time.Now()
+		done := paced(clients, float64(rate), window)
+		took := time.Since(began).Seconds()
+		after, err := r.used()
+		if err != nil {
+			return nil, err
+		}
+		if rate > 0 {
+			least = min(least, float64(done)/(float64(rate)*window.Seconds()))
+			if done == 0 {
+				return nil, errServed
+			}
+		}
+		core := (after.Processor - before.Processor).Seconds() / took
+		points = append(points, Point{float64(done) / took, core})
+		rows = append(rows, measure.Figure(fmt.Sprintf("core over %d databases, asked for %d requests a second", pool, rate), core))
+	}
+	fit, err := FitLine(points)
+	if err != nil {
+		return nil, err
+	}
+	u, err := r.used()
+	name := fmt.Sprintf("over %d databases: ", pool)
+	return append(rows,
+		measure.Figure(name+"us of processor time a request, slope", fit.Slope*1e6),
+		measure.Figure(name+"us of processor time a request, slope's standard error", fit.SlopeError*1e6),
+		measure.Figure(name+"core with no request, intercept", fit.Intercept),
+		measure.Figure(name+"core at the target's 750 requests a second", fit.At(statementsPerRouter)),
+		measure.Figure(name+"share completed of what was asked, least", least),
+		measure.Figure(name+"descriptors in the end, with 64 clients", u.Descriptors)), err
+}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -35,7 +35,8 @@
 
 // Parts are all groups, in the order in which they are printed.
 var Parts = []Part{
-	{"datapath", "Decisions, connections and configuration of one router, by size", DataPath},
+	{"datapath", "Decisions, memory, connections and configuration of one router, by size", DataPath},
+	{"service", "What a subset of the databases does to waits and to service, on virtual time", Service},
 	{"control", "Coordinators and hollow routers over real sockets, by size and under faults", Control},
 	{"subset", "Subsets of the databases: spread, churn, cost, and what they do to service", Subset},
 }
--- a/internal/scale/service_measure.go
+++ b/internal/scale/service_measure.go
@@ -90,8 +90,8 @@
 	parallelPlays = 4
 )
 
-// serviceBySubset plays the pool with each router told of all databases or of a subset, and compares what is served.
-func serviceBySubset(short bool) ([]measure.Row, error) {
+// Service plays a pool on virtual time with each router told of all databases or of a subset, and compares what is served.
+func Service(short bool) ([]measure.Row, error) {
 	form := serviceFormOf(short)
 	sizes := append([]int{wholePool}, form.sizes...)
 	var plays []play
