--- a/internal/scale/subset.go
+++ b/internal/scale/subset.go
@@ -1,6 +1,393 @@
 package scale
 
-import "dunereach/internal/measure"
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"time"
 
-// Subset is not measured yet.
-func Subset(short bool) ([]measure.Row, error) { return nil, nil }
+	"dunereach/admission"
+	"dunereach/fleet/subset"
+	"dunereach/internal/measure"
+	"dunereach/waittime"
+
+	"golang.org/x/sys/unix"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Subset measures what a bounded subset of the databases costs and changes at the designed size: how evenly databases are held, what
+// moves when one goes, what it takes to choose, and a decision with it. All of it is worked out by the packages that routers run, on
+// virtual time.
+func Subset(short bool) (rows []measure.Row, err error) {
+	sizes := []int{16, 32, 64, 128, 256}
+	gone := 24 // databases that go, one after the other
+	if short {
+		sizes, gone = []int{32, 64}, 2
+	}
+	for _, part := range []func() ([]measure.Row, error){
+		func() ([]measure.Row, error) { return spreadRows(sizes) },
+		func() ([]measure.Row, error) { return churnRows(sizes, gone) },
+		zoneLostRows,
+		closingRows,
+		func() ([]measure.Row, error) { return costRows(short) },
+		func() ([]measure.Row, error) { return decisionRows(sizes) },
+	} {
+		more, err := part()
+		if err != nil {
+			return rows, err
+		}
+		rows = append(rows, more...)
+	}
+	if !short {
+		rows = append(rows, optionRows(subsetSize)...)
+	}
+	return rows, nil
+}
+
+// What the rows are for unless they say otherwise.
+const (
+	subsetSize   = 64 // that bounds hold from
+	subsetRoom   = 0.5
+	subsetWidest = 4
+	regionZones  = 4 // of the first region; the second has the rest
+)
+
+// fleetOf is a pool with its routers, each with its options, numbered zone by zone.
+type fleetOf struct {
+	databases []subset.Database
+	routers   []subset.Router
+	size      int
+}
+
+func newFleet(routers, databases, size int) *fleetOf {
+	f := &fleetOf{size: size}
+	regionOf := func(zone int) int {
+		if zone < regionZones {
+			return 0
+		}
+		return 1
+	}
+	for k := range databases {
+		zone := k % TargetZones
+		f.databases = append(f.databases, subset.Database{Name: fmt.Sprintf("db-%d.example", k), Zone: zone, Region: regionOf(zone),
+			Kind: k / TargetZones % 2, Weight: 1})
+	}
+	for k := range routers {
+		zone := k * TargetZones / routers
+		f.routers = append(f.routers, subset.Router{Name: fmt.Sprintf("router-%d", k), Place: k, Zone: zone, Region: regionOf(zone)})
+	}
+	return f
+}
+
+func (f *fleetOf) options(r *subset.Router) *subset.Options {
+	o := &subset.Options{Size: f.size, Room: subsetRoom, Widest: subsetWidest, Near: 0.5, Region: 0.2, Zones: TargetZones, RegionZones: regionZones}
+	if r.Region == 1 {
+		o.RegionZones = TargetZones - regionZones
+	}
+	var region []int
+	for z := range TargetZones {
+		if (z < regionZones) == (r.Region == 0) {
+			region = append(region, z)
+		}
+	}
+	shape := subset.Shape{Zones: TargetZones, Kinds: 2}
+	o.Needs = shape.Needs(r.Zone, region, 2)
+	return o
+}
+
+// rankings of all routers over a list, by what sizes were planned for; nil: for this list.
+func (f *fleetOf) rankings(databases []subset.Database, planned []float64) (all []*subset.Ranking, err error) {
+	pool := subset.NewPool(databases)
+	for k := range f.routers {
+		r := f.routers[k]
+		o := f.options(&r)
+		if planned == nil {
+			ranking, err := pool.Rank(o, r)
+			if err != nil {
+				return nil, err
+			}
+			r.Planned = ranking.Effective()
+		} else {
+			r.Planned = planned[k]
+		}
+		ranking, err := pool.Rank(o, r)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, ranking)
+	}
+	return all, nil
+}
+
+// plannedOf is what sizes are evened out by.
+func plannedOf(rankings []*subset.Ranking) (all []float64) {
+	for _, r := range rankings {
+		all = append(all, r.Effective())
+	}
+	return all
+}
+
+// namesOf are the databases of each router at a width.
+func namesOf(databases []subset.Database, rankings []*subset.Ranking, width int) [][]string {
+	all := make([][]string, len(rankings))
+	for r, ranking := range rankings {
+		for _, m := range ranking.Take(width).Members {
+			all[r] = append(all[r], databases[m.Index].Name)
+		}
+	}
+	return all
+}
+
+// spreadRows tell how evenly databases are held, and how many connections that makes.
+func spreadRows(sizes []int) (rows []measure.Row, err error) {
+	for _, size := range sizes {
+		f := newFleet(TargetRouters, TargetDatabases, size)
+		rankings, err := f.rankings(f.databases, nil)
+		if err != nil {
+			return nil, err
+		}
+		for _, width := range []int{1, subsetWidest} {
+			subsets := namesOf(f.databases, rankings, width)
+			most, mean := heldBy(subsets)
+			label := fmt.Sprintf("size %d, width %d: ", size, width)
+			ratio := measure.Figure(label+"most to mean routers a database", float64(most)/mean)
+			if size >= subsetSize {
+				ratio = measure.AtMost(ratio.Name, ratio.Value, subset.Unevenness)
+			}
+			budget := subset.ConnectionBudget(TargetRouters, int(float64(size*width)*(1+subsetRoom)), 1.0/TargetDatabases)
+			rows = append(rows, ratio,
+				measure.AtMost(label+"routers of the most held database, by the budget", float64(most), float64(budget)),
+				measure.Figure(label+"mean places of a router", mean*TargetDatabases/TargetRouters),
+				measure.Figure(label+"router to database links of the fleet, thousands", mean*TargetDatabases/1000))
+		}
+	}
+	return append(rows, measure.Figure("without subsets: router to database links of the fleet, thousands", TargetRouters*TargetDatabases/1000)), nil
+}
+
+// churnRows tell what moves when a database goes; one that comes is the same the other way round.
+func churnRows(sizes []int, times int) (rows []measure.Row, err error) {
+	for _, size := range sizes {
+		f := newFleet(TargetRouters, TargetDatabases, size)
+		rankings, err := f.rankings(f.databases, nil)
+		if err != nil {
+			return nil, err
+		}
+		before, planned := namesOf(f.databases, rankings, 1), plannedOf(rankings)
+		worst := moved{}
+		for n := range times {
+			gone := (n*977 + 5) % TargetDatabases
+			fewer := slices.Delete(slices.Clone(f.databases), gone, gone+1)
+			later, err := f.rankings(fewer, planned)
+			if err != nil {
+				return nil, err
+			}
+			m := moves(before, namesOf(fewer, later, 1), f.databases[gone].Name)
+			worst.most, worst.others = max(worst.most, m.most), worst.others+m.others
+		}
+		label := fmt.Sprintf("size %d, a database goes or comes: ", size)
+		rows = append(rows, measure.AtMost(label+"most places moved in a subset that held it", float64(worst.most), 2),
+			measure.AtMost(label+"other subsets that moved", float64(worst.others), 0))
+	}
+	return rows, nil
+}
+
+// zoneLostRows tell what a router has left when its zone is lost, before the list says so and after.
+func zoneLostRows() (rows []measure.Row, err error) {
+	f := newFleet(TargetRouters, TargetDatabases, subsetSize)
+	rankings, err := f.rankings(f.databases, nil)
+	if err != nil {
+		return nil, err
+	}
+	least, leastRegion, near, places := math.MaxInt, math.MaxInt, 0, 0
+	for k, ranking := range rankings {
+		r, outside, abroad := &f.routers[k], 0, 0
+		for _, m := range ranking.Take(1).Members {
+			d := &f.databases[m.Index]
+			places++
+			if d.Zone != r.Zone {
+				outside++
+			} else {
+				near++
+			}
+			if d.Region != r.Region {
+				abroad++
+			}
+		}
+		least, leastRegion = min(least, outside), min(leastRegion, abroad)
+	}
+	rest := slices.DeleteFunc(slices.Clone(f.databases), func(d subset.Database) bool { return d.Zone == 0 })
+	later, err := f.rankings(rest, nil)
+	if err != nil {
+		return nil, err
+	}
+	subsets := namesOf(rest, later, 1)
+	fewest := math.MaxInt
+	for _, own := range subsets {
+		fewest = min(fewest, len(own))
+	}
+	most, mean := heldBy(subsets)
+	mean *= float64(TargetDatabases) / float64(len(rest))
+	return []measure.Row{
+		measure.Figure("size 64: part of the places that is near", float64(near)/float64(places)),
+		measure.AtLeast("size 64, its zone lost: fewest databases left to a router", float64(least), 8),
+		measure.AtLeast("size 64, its region lost: fewest databases left to a router", float64(leastRegion), 2),
+		measure.AtLeast("size 64, a zone off the list: fewest places of a router", float64(fewest), subsetSize),
+		// Routers of the lost zone spread over the others: nothing of their own is near.
+		measure.Figure("size 64, a zone off the list: most to mean routers a database", float64(most)/mean),
+	}, nil
+}
+
+// closingRows play the fleet narrowing at once from its widest and count what one database sees closed in a second.
+func closingRows() ([]measure.Row, error) {
+	f := newFleet(TargetRouters, TargetDatabases, subsetSize)
+	rankings, err := f.rankings(f.databases, nil)
+	if err != nil {
+		return nil, err
+	}
+	closed := map[string]map[int]int{} // by database and second
+	most, last := 0, 0.0
+	for k, ranking := range rankings {
+		name := f.routers[k].Name
+		var leaving subset.Leaving
+		began := subset.CalmFor * subset.Spread(name) / 2 // past the common time of calm
+		wide, narrow := ranking.Take(subsetWidest), ranking.Take(subsetWidest/2)
+		stays := map[int]bool{}
+		for _, m := range narrow.Members {
+			stays[m.Index] = true
+		}
+		var left []string
+		for _, m := range wide.Members {
+			if !stays[m.Index] {
+				left = append(left, f.databases[m.Index].Name)
+			}
+		}
+		leaving.Add(began, name, left)
+		for now := began; leaving.Len() > 0; now += 0.5 {
+			for _, database := range leaving.Due(now) {
+				if closed[database] == nil {
+					closed[database] = map[int]int{}
+				}
+				closed[database][int(now)]++
+				most, last = max(most, closed[database][int(now)]), max(last, now)
+			}
+		}
+	}
+	// The mean of what goes is the room's and the size's at two widths, some forty seconds long.
+	const mostASecond = 16
+	return []measure.Row{
+		measure.AtMost("all routers narrow from width 4 at once: most routers that leave one database in a second", float64(most), mostASecond),
+		measure.Figure("all routers narrow from width 4 at once: seconds until the last has left", last),
+	}, nil
+}
+
+// threadTime is the processor time that this thread has used: other load on the machine is not in it.
+func threadTime() time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_THREAD, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// costRows are the processor time and memory of choosing, by the databases of the list.
+func costRows(short bool) (rows []measure.Row, err error) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	rounds := 200
+	if short {
+		rounds = 40
+	}
+	var counts, times, bytes []float64
+	for _, databases := range []int{500, 1000, 2000, TargetDatabases} {
+		f := newFleet(TargetRouters, databases, subsetSize)
+		r := f.routers[0]
+		o := f.options(&r)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		began := threadTime()
+		for range rounds {
+			pool := subset.NewPool(f.databases)
+			ranking, err := pool.Rank(o, r)
+			if err != nil {
+				return nil, err
+			}
+			ranking.Take(1)
+		}
+		took := threadTime() - began
+		runtime.ReadMemStats(&after)
+		counts = append(counts, float64(databases))
+		times = append(times, took.Seconds()*1e6/float64(rounds))
+		bytes = append(bytes, float64(after.TotalAlloc-before.TotalAlloc)/float64(rounds))
+		rows = append(rows, measure.Figure(fmt.Sprintf("to choose from %d databases, us of processor time", databases), times[len(times)-1]),
+			measure.Figure(fmt.Sprintf("to choose from %d databases, KB allocated", databases), bytes[len(bytes)-1]/1000))
+	}
+	_, slope := stat.LinearRegression(counts, times, nil, false)
+	offset, slopeBytes := stat.LinearRegression(counts, bytes, nil, false)
+	return append(rows,
+		measure.AtMost("to choose from the target's databases, us", times[len(times)-1], 20_000),
+		measure.Figure("slope: us a database of the list", slope),
+		measure.Figure("slope: bytes allocated a database of the list", slopeBytes),
+		measure.Figure("fit of the bytes: part of the variance", stat.RSquared(counts, bytes, nil, offset, slopeBytes))), nil
+}
+
+// deaf is a host that carries out nothing, and remembers where the last attempt went.
+type deaf struct{ engine uint32 }
+
+func (d *deaf) Send(_, engine uint32, _, _ float64)           { d.engine = engine }
+func (d *deaf) Withdraw(uint32, int)                          {}
+func (d *deaf) Shed(uint32, float64)                          {}
+func (d *deaf) Fail(uint32)                                   {}
+func (d *deaf) Cancel(uint32, int)                            {}
+func (d *deaf) Probe(uint32)                                  {}
+func (d *deaf) Priority(uint32, int, float64)                 {}
+func (d *deaf) Wake(float64, uint64)                          {}
+func (d *deaf) Tell(int, []byte)                              {}
+func (d *deaf) Watch(bool)                                    {}
+func (d *deaf) Log(string)                                    {}
+func (d *deaf) Told(uint32, waittime.Kind, waittime.Estimate) {}
+
+// decisionRows compare a decision of a router that holds a subset of 3,900 databases with one whose pool has the subset's size, and
+// with one that holds them all.
+func decisionRows(sizes []int) (rows []measure.Row, err error) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	whole := decisionTime(TargetDatabases, 1)
+	for _, size := range sizes {
+		own := decisionTime(size, 1)
+		of := decisionTime(size, float64(size)/TargetDatabases)
+		rows = append(rows, measure.Figure(fmt.Sprintf("a decision in a pool of %d, us", size), own),
+			measure.AtMost(fmt.Sprintf("a decision with %d of %d, by that in a pool of %d", size, TargetDatabases, size), of/own, 1.3))
+	}
+	return append(rows, measure.Figure(fmt.Sprintf("a decision with all of %d, us", TargetDatabases), whole)), nil
+}
+
+// decisionTime is the least of some rounds, in microseconds: a request in, its attempt out and its answer back.
+func decisionTime(held int, part float64) float64 {
+	const rounds, requests = 7, 400
+	least := math.Inf(1)
+	host := &deaf{}
+	m := admission.New(admission.Settings{Seed: 1, Routers: TargetRouters, Tick: 0.005, MaxSends: 4, KindCores: []float64{8},
+		Profiles: []admission.Profile{{Target: 1, Benefit: 1, Threads: 1}}, ColdFrom: 0.35, WarmUp: 10, FallMultiple: 2, FallWindow: 1}, 0, host)
+	var list []admission.Entry
+	for k := range held {
+		list = append(list, admission.Entry{Engine: uint32(k + 1), State: admission.Ready})
+	}
+	m.Members(0, admission.Full, list)
+	m.Hold(admission.Held{Part: part})
+	now := 0.0
+	for range rounds {
+		began := threadTime()
+		for k := range requests {
+			now += 0.001
+			id := uint32(now*1000) + 1
+			m.Command(now, admission.Command{ID: id, Cost: 0.1, TimeLeft: 4})
+			m.Outcome(now+0.0005, admission.Outcome{ID: id, Engine: host.engine, End: admission.Answered, Lag: 0.0005, Work: 0.1, Over: true})
+			if k%5 == 0 {
+				m.Woken(now, 0)
+			}
+		}
+		least = min(least, (threadTime()-began).Seconds()*1e6/requests)
+	}
+	return least
+}
