Shares of a held engine and of the pool: tests, and an equal share of a quota at least

Cause: with fewer routers than subsets that make up the pool, the share of a held engine stops at 1, and of a quota it took the subset's part of the pool, under an equal one. The test fails without the change.

--- a/admission/subset.go
+++ b/admission/subset.go
@@ -22,10 +22,10 @@
 	return share
 }
 
-// ofPool turns a share of each held engine into one of the whole pool.
+// ofPool turns a share of each held engine into one of the whole pool, an equal one at least.
 func (p *pool) ofPool(share float64) float64 {
 	if p.held.Part > 0 && p.held.Part < 1 {
-		share *= p.held.Part
+		return max(share*p.held.Part, 1/float64(len(p.heard)))
 	}
 	return share
 }
--- /dev/null
+++ b/admission/subset_test.go
@@ -0,0 +1,76 @@
+package admission
+
+import (
+	"math"
+	"testing"
+
+	"dunereach/waittime"
+)
+
+// idle is a host that does nothing of what it is asked for.
+type idle struct{}
+
+func (idle) Send(id, engine uint32, limit, by float64)            {}
+func (idle) Shed(id uint32, pause float64)                        {}
+func (idle) Fail(id uint32)                                       {}
+func (idle) Cancel(id uint32, send int)                           {}
+func (idle) Withdraw(id uint32, send int)                         {}
+func (idle) Probe(engine uint32)                                  {}
+func (idle) Priority(id uint32, level int, grant float64)         {}
+func (idle) Wake(after float64, token uint64)                     {}
+func (idle) Tell(peer int, data []byte)                           {}
+func (idle) Watch(on bool)                                        {}
+func (idle) Log(text string)                                      {}
+func (idle) Told(id uint32, k waittime.Kind, e waittime.Estimate) {}
+
+// TestHeldShares: of a held engine a router has a larger equal share, of the whole pool's quotas and cores none the larger.
+func TestHeldShares(t *testing.T) {
+	set := Settings{Routers: 100, Tick: 0.005, Profiles: []Profile{{Target: 1, Benefit: 1, Threads: 1}}, KindCores: []float64{8},
+		Tenants: []Tenant{{QuotaPerS: 10}}}
+	list := []Entry{{Engine: 1, Zone: 0, State: Ready}, {Engine: 2, Zone: 1, State: Ready}, {Engine: 3, Zone: 1, State: Draining}}
+	for _, c := range []struct {
+		name         string
+		held         Held
+		share, quota float64
+		ready        []float64 // reported by zone
+	}{
+		{"all", Held{}, 0.01, 0.01, []float64{8, 8}},
+		{"said to be all", Held{Part: 1, Zones: []float64{1, 1}}, 0.01, 0.01, []float64{8, 8}},
+		{"a twentieth", Held{Part: 0.05, Zones: []float64{0.25, 0.125}}, 0.2, 0.01, []float64{32, 64}},
+		{"fewer than routers", Held{Part: 0.001}, 1, 0.01, []float64{8, 8}},
+	} {
+		b := New(set, 0, idle{})
+		b.Members(0, Full, list)
+		b.Hold(c.held)
+		b.Woken(0.005, 0)
+		near := func(a, b float64) bool { return math.Abs(a-b) < 1e-12 }
+		if !near(b.share, c.share) || !near(b.quotaPart(0), c.quota) {
+			t.Errorf("%s: share %v, of a quota %v; want %v and %v", c.name, b.share, b.quotaPart(0), c.share, c.quota)
+		}
+		r := b.Report(1, 2)
+		for z, ready := range c.ready {
+			if r.Sights[z].Ready != ready {
+				t.Errorf("%s: zone %d is told to have %v cores, want %v", c.name, z, r.Sights[z].Ready, ready)
+			}
+		}
+	}
+}
+
+// TestCondition tells a cold engine and one that drains from one that can be used.
+func TestCondition(t *testing.T) {
+	b := New(Settings{Routers: 4, Tick: 0.005, WarmUp: 15, Profiles: []Profile{{Target: 1, Benefit: 1, Threads: 1}}}, 100, idle{})
+	b.Members(100, Full, []Entry{{Engine: 1, State: Ready}, {Engine: 2, State: Draining}, {Engine: 3, State: Ready, ReadyAt: 95}})
+	for engine, want := range map[uint32]Condition{1: Usable, 2: Unlisted, 3: Warming, 4: Unlisted} {
+		if got := b.Condition(100, engine); got != want {
+			t.Errorf("engine %d: condition %d, want %d", engine, got, want)
+		}
+	}
+	b.engines[b.index[1]].fullTo = 101
+	if got := b.Condition(100, 1); got != Crowded {
+		t.Errorf("an engine that turned a request away: condition %d", got)
+	}
+	b.engines[b.index[1]].ill = true
+	if got := b.Condition(100, 1); got != Unhealthy {
+		t.Errorf("an engine that gets probes only: condition %d", got)
+	}
+}
