Near parts by the weight of zones: unequal zones stay evenly loaded

Cause: zones were taken as equally large, so a small zone's databases had other loads than a large one's. Result: TestUnequalZones, zones of 1 to 9 thirtieths, most to mean within 1.2 at size 64.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -49,6 +49,8 @@
 			`/subset/routers/1/place: 0 is the place of "a" too`},
 		{"a router in no zone", "", "", `{"subset":{"size":8,"routers":[{"name":"a","zone":"loft"}]}}`, `/subset/routers/0/zone: "loft" is no zone`},
 		{"nearness beyond what is safe", "", "", `{"subset":{"size":8,"near":0.6,"region":0.5,"regions":{"x":["hall"]}}}`, "/subset/near: 0.6"},
+		{"a zone without a weight", "", "", `{"subset":{"size":8,"zones":{"hall":1}}}`, `/subset/zones: zone "yard" of the settings is missing`},
+		{"a zone of weight 0", "", "", `{"subset":{"size":8,"zones":{"hall":1,"yard":0}}}`, "/subset/zones/yard: 0 is no weight"},
 		{"a region of no zone", "", "", `{"subset":{"size":8,"regions":{"x":["loft"]}}}`, `/subset/regions/x/0: "loft" is no zone`},
 		{"no JSON", "", "", `{"teams":`, "line 1, column 9: unexpected end of JSON input"},
 	} {
--- a/fleet/subset/options.go
+++ b/fleet/subset/options.go
@@ -10,13 +10,13 @@
 	Size   int     // places of a router with the mean share of traffic
 	Room   float64 // part of the size that a subset may be larger by, so that loads are even: see Router.Planned
 	Widest int     // how many times as many a router may hold in need, a power of two; 1 or 0: it never widens
-	Near   float64 // part of a subset that is for the own zone, before the rest is dealt out to all zones alike
+	Near   float64 // part of a subset that is for the own zone, before the rest is dealt out over the whole pool
 	Region float64 // part that is for the own region, likewise
-	Zones  int     // zones of the pool, of equal weight
-	// RegionZones is how many of them the own region has; 0: all.
-	RegionZones int
-	Needs       []Need
-	Together    bool // databases of one cell are held together: a profile's repeats are dropped within a cell alone
+	// ZonePart and RegionPart are the parts of the pool's weight that the own zone and the own region have, as the settings know
+	// them: by the list, a database that goes would move others. 0: not known, and no part is for the zone or the region.
+	ZonePart, RegionPart float64
+	Needs                []Need
+	Together             bool // databases of one cell are held together: a profile's repeats are dropped within a cell alone
 }
 
 // Bounds of the options.
@@ -38,8 +38,8 @@
 		return fmt.Errorf("widest: %d is not a power of two up to %d", o.Widest, MostWidest)
 	case !(o.Near >= 0 && o.Region >= 0 && o.Near+o.Region <= MostNear):
 		return fmt.Errorf("near: %v and region: %v are not both from 0, and %v at most together", o.Near, o.Region, MostNear)
-	case o.Zones < 0 || o.RegionZones < 0 || o.RegionZones > o.Zones:
-		return fmt.Errorf("zones: the own region has %d of %d", o.RegionZones, o.Zones)
+	case !(o.ZonePart >= 0 && o.ZonePart <= 1) || !(o.RegionPart >= 0 && o.RegionPart <= 1):
+		return fmt.Errorf("zones: the own zone has %v and the own region %v of the weight", o.ZonePart, o.RegionPart)
 	case len(o.Needs) > MostNeeds:
 		return fmt.Errorf("needs: %d are more than %d", len(o.Needs), MostNeeds)
 	}
@@ -51,20 +51,21 @@
 	return nil
 }
 
-// nearness is how many databases of a far zone one of the own zone and one of the own region count as. With Z zones of equal
-// weight and R of them in the region, a subset then has Near + Region/R + Rest/Z of its places in the own zone, Region/R + Rest/Z
-// in each other zone of the region, and Rest/Z in each zone beyond it.
-func (o *Options) nearness(r *Router) (near, region float64) {
-	if r.Zone < 0 || o.Zones < 2 {
-		return 1, 1
+// nearness is how many databases beyond the own region one of the own zone and one of the own region count as. A subset then has
+// its rest, 1 - Near - Region, over the whole pool by weight, and the two parts over the own region and zone. Where each zone has
+// routers by its weight, the loads of all zones are the same.
+func (o *Options) nearness(r *Router) (zone, region float64) {
+	ofZone, ofRegion := 0.0, 0.0
+	rest := 1.0
+	if r.Zone >= 0 && o.ZonePart > 0 {
+		ofZone = o.Near / o.ZonePart
+		rest -= o.Near
 	}
-	inRegion := o.RegionZones
-	if inRegion == 0 || r.Region < 0 {
-		inRegion = o.Zones
+	if r.Region >= 0 && o.RegionPart > 0 {
+		ofRegion = o.Region / o.RegionPart
+		rest -= o.Region
 	}
-	rest := (1 - o.Near - o.Region) / float64(o.Zones)
-	ofRegion := o.Region / float64(inRegion)
-	return (o.Near + ofRegion + rest) / rest, (ofRegion + rest) / rest
+	return 1 + (ofZone+ofRegion)/rest, 1 + ofRegion/rest
 }
 
 // MostShare bounds how much larger than the mean a router's subset may be by its traffic.
--- a/fleet/subset/subset_test.go
+++ b/fleet/subset/subset_test.go
@@ -20,7 +20,7 @@
 
 // standard are the options that docs/design/subset.md gives figures for.
 func standard(size int) Options {
-	return Options{Size: size, Room: 0.5, Widest: 4, Near: 0.5, Region: 0.2, Zones: fleetZones, RegionZones: 4}
+	return Options{Size: size, Room: 0.5, Widest: 4, Near: 0.5, Region: 0.2, ZonePart: 1.0 / fleetZones, RegionPart: 4.0 / fleetZones}
 }
 
 func regionOf(zone int) int {
@@ -61,7 +61,7 @@
 // regional gives the options of a router's region.
 func regional(o Options, r Router) *Options {
 	if r.Region == 1 {
-		o.RegionZones = fleetZones - 4
+		o.RegionPart = 3.0 / fleetZones
 	}
 	return &o
 }
@@ -213,6 +213,37 @@
 	}
 }
 
+// TestUnequalZones: with zones of unequal size, told, the loads stay even.
+func TestUnequalZones(t *testing.T) {
+	sizes := [fleetZones]int{1, 2, 3, 4, 5, 6, 9} // thirtieths
+	var zones []int
+	for z, n := range sizes {
+		zones = append(zones, slices.Repeat([]int{z}, n)...)
+	}
+	databases := fleetPool("zones", one)
+	for i := range databases {
+		databases[i].Zone = zones[i%len(zones)]
+		databases[i].Region = regionOf(databases[i].Zone)
+	}
+	pool, places, total := NewPool(databases), make([]int, len(databases)), 0
+	for k := range fleetRouters {
+		zone := zones[k*len(zones)/fleetRouters]
+		o := standard(64)
+		o.ZonePart, o.RegionPart = float64(sizes[zone])/30, 1.0/3
+		if regionOf(zone) == 1 {
+			o.RegionPart = 2.0 / 3
+		}
+		c := choose(t, pool, &o, Router{Place: k, Zone: zone, Region: regionOf(zone)}).Take(1)
+		for _, m := range c.Members {
+			places[m.Index]++
+			total++
+		}
+	}
+	if got := mostToMean(databases, places, total); got > 1.2 { // the smallest zone has 53 routers
+		t.Errorf("most to mean is %.3f", got)
+	}
+}
+
 // drawn is a small pool with its options, as properties draw them.
 type drawn struct {
 	databases []Database
@@ -227,8 +258,8 @@
 		d.databases = append(d.databases, Database{Name: fmt.Sprintf("s-%d", i), Zone: zone, Region: zone / 2, Cell: i / 4,
 			Kind: rapid.IntRange(0, kinds-1).Draw(t, "kind"), Weight: rapid.SampledFrom([]float64{0.5, 1, 1, 1, 2, 8}).Draw(t, "weight")})
 	}
-	d.options = Options{Size: rapid.IntRange(1, 24).Draw(t, "size"), Widest: 4, Near: 0.5, Region: 0.2, Zones: zones,
-		RegionZones: min(zones, 2), Room: rapid.SampledFrom([]float64{0, 0.25, 0.5}).Draw(t, "room"), Together: rapid.Bool().Draw(t, "together")}
+	d.options = Options{Size: rapid.IntRange(1, 24).Draw(t, "size"), Widest: 4, Near: 0.5, Region: 0.2, ZonePart: 1 / float64(zones),
+		RegionPart: float64(min(zones, 2)) / float64(zones), Room: rapid.SampledFrom([]float64{0, 0.25, 0.5}).Draw(t, "room"), Together: rapid.Bool().Draw(t, "together")}
 	for n := range rapid.IntRange(0, mostNeeds).Draw(t, "needs") {
 		d.options.Needs = append(d.options.Needs, Need{Name: fmt.Sprint(n), Zones: rapid.SampledFrom([][]int{nil, {0}, {0, 1}}).Draw(t, "in"),
 			Kinds: rapid.SampledFrom([][]int{nil, {0}, {1}}).Draw(t, "of"), Outside: rapid.Bool().Draw(t, "outside"),
@@ -353,7 +384,7 @@
 func TestLostZone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := draw(t, 0)
-		shape := Shape{Zones: d.options.Zones, Kinds: 3}
+		shape := Shape{Zones: 4, Kinds: 3}
 		d.options.Needs = shape.Needs(d.router.Zone, nil, 1)
 		rest := slices.DeleteFunc(slices.Clone(d.databases), func(x Database) bool { return x.Zone == d.router.Zone })
 		outside := 0
@@ -398,7 +429,8 @@
 		{func(o *Options) { o.Widest = 3 }, "power of two"},
 		{func(o *Options) { o.Near = math.NaN() }, "near"},
 		{func(o *Options) { o.Near, o.Region = 0.8, 0.2 }, "near"},
-		{func(o *Options) { o.RegionZones = 9 }, "zones"},
+		{func(o *Options) { o.RegionPart = math.NaN() }, "zones"},
+		{func(o *Options) { o.ZonePart = 7 }, "zones"},
 		{func(o *Options) { o.Needs = []Need{{Least: -1}} }, "needs/0"},
 		{func(o *Options) { o.Needs = make([]Need, MostNeeds+1) }, "needs"},
 	} {
--- a/internal/operator/subset.go
+++ b/internal/operator/subset.go
@@ -17,6 +17,7 @@
 	Least   *int                `json:"least,omitempty" jsonschema:"minimum=0,maximum=64,description=Databases of each kind and of each profile's zones and kinds and beyond the router's zone and region that a subset has at least. Absent: 2."`
 	Place   *int                `json:"place,omitempty" jsonschema:"minimum=0,maximum=1048576,description=This router's number among all of them: unique and best counted zone by zone. Absent: the list of routers says or the settings do."`
 	Share   float64             `json:"share,omitempty" jsonschema:"minimum=0,maximum=64,description=This router's traffic by that of the mean router. Absent: 1."`
+	Zones   map[string]float64  `json:"zones,omitempty" jsonschema:"description=Weight of the databases of each zone of the settings relative to the other zones. Absent: equal."`
 	Regions map[string][]string `json:"regions,omitempty" jsonschema:"description=Zones of the settings by region. Absent: those of the section fleet."`
 	Routers []SubsetRouter      `json:"routers,omitempty" jsonschema:"maxItems=65536,description=All routers as far as they are known: what dunereach fleet subset tells of a database is for these. A router finds its place and share here by its name."`
 }
@@ -82,16 +83,35 @@
 	return of
 }
 
-// SubsetOptions are the options of a router in a zone, whose region is of that many zones; needs are the caller's.
-func (f *File) SubsetOptions(zones, regionZones int) subset.Options {
+// ZonePartsOf gives the part of the pool's weight that each zone has.
+func (s *Subset) ZonePartsOf(zones []string) []float64 {
+	parts, sum := make([]float64, len(zones)), 0.0
+	for z, name := range zones {
+		if parts[z] = s.Zones[name]; len(s.Zones) == 0 {
+			parts[z] = 1
+		}
+		sum += parts[z]
+	}
+	for z := range parts {
+		parts[z] /= sum
+	}
+	return parts
+}
+
+// SubsetOptions are the options of a router whose zone and region have these parts of the pool's weight; needs are the caller's. A
+// pool of one zone or one region has no near part.
+func (f *File) SubsetOptions(zonePart, regionPart float64) subset.Options {
 	s := f.Subset
-	o := subset.Options{Size: s.Size, Room: valueOr(s.Room, standardRoom), Widest: s.Widest, Near: valueOr(s.Near, standardNear),
-		Zones: zones, RegionZones: regionZones}
+	o := subset.Options{Size: s.Size, Room: valueOr(s.Room, standardRoom), Widest: s.Widest, Near: valueOr(s.Near, standardNear)}
 	if o.Widest == 0 {
 		o.Widest = standardWidest
 	}
-	if regionZones > 0 && regionZones < zones {
-		o.Region = valueOr(s.Region, min(standardRegion, max(subset.MostNear-o.Near, 0)))
+	o.Region = valueOr(s.Region, min(standardRegion, max(subset.MostNear-o.Near, 0)))
+	if zonePart < 1 {
+		o.ZonePart = zonePart
+	}
+	if regionPart < 1 {
+		o.RegionPart = regionPart
 	}
 	return o
 }
@@ -109,7 +129,20 @@
 			}
 		}
 	}
-	o := f.SubsetOptions(len(zones), min(1, len(zones)))
+	for name, weight := range s.Zones {
+		if !slices.Contains(zones, name) {
+			return fmt.Errorf("/subset/zones/%s: it is no zone of the settings", name)
+		}
+		if !subset.UsableWeight(weight) {
+			return fmt.Errorf("/subset/zones/%s: %v is no weight from 1e-6 to 1e6", name, weight)
+		}
+	}
+	for _, name := range zones {
+		if _, told := s.Zones[name]; !told && len(s.Zones) > 0 {
+			return fmt.Errorf("/subset/zones: zone %q of the settings is missing", name)
+		}
+	}
+	o := f.SubsetOptions(1, 1)
 	if err := o.Check(); err != nil {
 		return fmt.Errorf("/subset/%v", err)
 	}
--- a/internal/scale/subset.go
+++ b/internal/scale/subset.go
@@ -81,9 +81,10 @@
 }
 
 func (f *fleetOf) options(r *subset.Router) *subset.Options {
-	o := &subset.Options{Size: f.size, Room: subsetRoom, Widest: subsetWidest, Near: 0.5, Region: 0.2, Zones: TargetZones, RegionZones: regionZones}
+	o := &subset.Options{Size: f.size, Room: subsetRoom, Widest: subsetWidest, Near: 0.5, Region: 0.2, ZonePart: 1.0 / TargetZones,
+		RegionPart: float64(regionZones) / TargetZones}
 	if r.Region == 1 {
-		o.RegionZones = TargetZones - regionZones
+		o.RegionPart = 1 - o.RegionPart
 	}
 	var region []int
 	for z := range TargetZones {
--- a/internal/subsets/subsets.go
+++ b/internal/subsets/subsets.go
@@ -18,12 +18,14 @@
 	zones   []string
 	regions []int // by zone; nil: not known
 	shape   subset.Shape
+	parts   []float64 // of the pool's weight, by zone
 	byCell  bool
 }
 
 // New reads a configuration whose operators' file has a section subset.
 func New(cfg *config.Config) *Setup {
 	s := &Setup{file: &cfg.Operator, zones: cfg.Settings.Zones, regions: cfg.Operator.RegionsOf(cfg.Settings.Zones)}
+	s.parts = cfg.Operator.Subset.ZonePartsOf(s.zones)
 	s.shape = subset.Shape{Zones: len(s.zones), Kinds: len(cfg.Settings.Kinds)}
 	for k, p := range cfg.Settings.Brain.Profiles {
 		s.shape.Placements = append(s.shape.Placements, subset.Placement{Name: cfg.Settings.Profiles[k], Zones: p.Zones, Kinds: p.Kinds})
@@ -73,12 +75,20 @@
 		r.Region = s.regions[r.Zone]
 	}
 	var region []int // zones of the router's own
+	zonePart, regionPart := 0.0, 0.0
+	if r.Zone >= 0 && r.Zone < len(s.parts) {
+		zonePart = s.parts[r.Zone]
+	}
 	for z := range s.zones {
 		if r.Region >= 0 && s.regions[z] == r.Region {
 			region = append(region, z)
+			regionPart += s.parts[z]
 		}
 	}
-	o := s.file.SubsetOptions(len(s.zones), len(region))
+	if len(region) == len(s.zones) {
+		regionPart = 1
+	}
+	o := s.file.SubsetOptions(zonePart, regionPart)
 	o.Needs = s.shape.Needs(r.Zone, region, s.file.Subset.LeastOf())
 	o.Together = s.byCell
 	return Chooser{o, r}
