--- a/internal/dns/dns.go
+++ b/internal/dns/dns.go
@@ -1,5 +1,5 @@
-// Package dns asks for the records that list the engines and reads the answer (RFC 1035, SRV of RFC 2782).
-// It knows no socket.
+// Package dns writes the question for the records that list the servers and parses the answer (RFC 1035; SRV records, RFC 2782). It
+// does no I/O.
 package dns
 
 import (
@@ -19,23 +19,23 @@
 	classIN = 1
 )
 
-// Service is one engine: its SRV record with what stands beside it.
+// Service is one server: its SRV record with the A and TXT records of its target.
 type Service struct {
 	Name             string // target, lower case, without the last dot
 	Priority, Weight uint16
 	Port             uint16
-	Addr             netip.Addr // not valid: no A record came
+	Addr             netip.Addr // not valid: there was no A record
 	Text             []string
 }
 
-// List is an answer.
+// List is a parsed answer.
 type List struct {
 	ID       uint16
 	Serial   uint32
 	Services []Service
 }
 
-// Query is a question for the SRV records of a name.
+// Query appends a question for the SRV records of a name.
 func Query(b []byte, id uint16, name string) []byte {
 	b = be.AppendUint16(b, id)
 	b = append(b, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0) // recursion desired, one question
@@ -54,96 +54,157 @@
 	errSerial = errors.New("no serial")
 )
 
-// Parse reads a whole answer to a Query for a name. Whether its ID was asked is the caller's to know.
+// header is the length of a message's header, recordHead that of the fixed fields behind a record's owner (RFC 1035, 4.1).
+const (
+	header     = 12
+	recordHead = 10
+)
+
+// Flags of a header.
+const (
+	flagResponse  = 0x8000
+	flagTruncated = 0x0200
+	maskCode      = 0x000f
+)
+
+// Parse reads a whole answer to a Query for a name. It does not check that its ID was asked. Where it returns an error, the list holds
+// what was read before.
 func Parse(msg []byte, name string) (list List, err error) {
-	if len(msg) < 12 {
-		return list, errShort
+	p := parser{msg: msg, name: name, addrs: map[string]netip.Addr{}, texts: map[string][]string{}}
+	if err := p.question(); err != nil {
+		return p.list, err
+	}
+	records := int(be.Uint16(msg[6:])) + int(be.Uint16(msg[8:])) + int(be.Uint16(msg[10:]))
+	for range records {
+		if err := p.record(); err != nil {
+			return p.list, err
+		}
+	}
+	if !p.serial {
+		return p.list, errSerial
+	}
+	for k := range p.list.Services {
+		s := &p.list.Services[k]
+		s.Addr, s.Text = p.addrs[s.Name], p.texts[s.Name]
+	}
+	return p.list, nil
+}
+
+// parser reads one message.
+type parser struct {
+	msg    []byte
+	name   string // that was asked for
+	at     int    // offset of what is read next
+	list   List
+	serial bool                  // the list has one
+	addrs  map[string]netip.Addr // by owner, as the texts
+	texts  map[string][]string
+}
+
+// question reads the header and the question, which has to be the one of Query.
+func (p *parser) question() error {
+	if len(p.msg) < header {
+		return errShort
 	}
-	flags := be.Uint16(msg[2:])
-	list.ID = be.Uint16(msg)
+	flags := be.Uint16(p.msg[2:])
+	p.list.ID = be.Uint16(p.msg)
 	switch {
-	case flags&0x8000 == 0 || be.Uint16(msg[4:]) != 1:
-		return list, errAnswer
-	case flags&0x0200 != 0:
-		return list, errCut
-	case flags&0x000f != 0:
-		return list, errCode
-	}
-	asked, at, err := readName(msg, 12)
+	case flags&flagResponse == 0 || be.Uint16(p.msg[4:]) != 1:
+		return errAnswer
+	case flags&flagTruncated != 0:
+		return errCut
+	case flags&maskCode != 0:
+		return errCode
+	}
+	asked, at, err := readName(p.msg, header)
 	if err != nil {
-		return list, err
+		return err
 	}
-	if asked != name || len(msg) < at+4 || be.Uint16(msg[at:]) != typeSRV || be.Uint16(msg[at+2:]) != classIN {
-		return list, errAnswer
+	if asked != p.name || len(p.msg) < at+4 || be.Uint16(p.msg[at:]) != typeSRV || be.Uint16(p.msg[at+2:]) != classIN {
+		return errAnswer
 	}
-	at += 4
-	addrs, texts, serial := map[string]netip.Addr{}, map[string][]string{}, false
-	records := int(be.Uint16(msg[6:])) + int(be.Uint16(msg[8:])) + int(be.Uint16(msg[10:]))
-	for range records {
-		var owner string
-		if owner, at, err = readName(msg, at); err != nil {
-			return list, err
-		}
-		if len(msg) < at+10 {
-			return list, errShort
-		}
-		kind, class, size := be.Uint16(msg[at:]), be.Uint16(msg[at+2:]), int(be.Uint16(msg[at+8:]))
-		at += 10
-		if len(msg) < at+size {
-			return list, errShort
-		}
-		data, end := msg[at:at+size], at+size
-		switch {
-		case class != classIN:
-		case kind == typeSRV && owner == name:
-			if size < 7 {
-				return list, errShort
-			}
-			s := Service{Priority: be.Uint16(data), Weight: be.Uint16(data[2:]), Port: be.Uint16(data[4:])}
-			var after int
-			if s.Name, after, err = readName(msg, at+6); err != nil {
-				return list, err
-			}
-			if after != end {
-				return list, errName
-			}
-			list.Services = append(list.Services, s)
-		case kind == typeA && size == 4:
-			addrs[owner] = netip.AddrFrom4([4]byte(data))
-		case kind == typeTXT:
-			for t := data; len(t) > 0; t = t[1+int(t[0]):] {
-				if len(t) < 1+int(t[0]) {
-					return list, errShort
-				}
-				texts[owner] = append(texts[owner], string(t[1:1+int(t[0])]))
-			}
-		case kind == typeSOA:
-			_, after, err := readName(msg, at)
-			if err == nil {
-				_, after, err = readName(msg, after)
-			}
-			if err != nil {
-				return list, err
-			}
-			if after+20 != end {
-				return list, errShort
-			}
-			list.Serial, serial = be.Uint32(msg[after:]), true
+	p.at = at + 4
+	return nil
+}
+
+// record reads the next record. Those of other classes and types are passed over.
+func (p *parser) record() error {
+	owner, at, err := readName(p.msg, p.at)
+	if err != nil {
+		return err
+	}
+	if len(p.msg) < at+recordHead {
+		return errShort
+	}
+	kind, class, size := be.Uint16(p.msg[at:]), be.Uint16(p.msg[at+2:]), int(be.Uint16(p.msg[at+8:]))
+	at += recordHead
+	if len(p.msg) < at+size {
+		return errShort
+	}
+	data := p.msg[at : at+size]
+	p.at = at + size
+	switch {
+	case class != classIN:
+	case kind == typeSRV && owner == p.name:
+		return p.service(at, data)
+	case kind == typeA && size == 4:
+		p.addrs[owner] = netip.AddrFrom4([4]byte(data))
+	case kind == typeTXT:
+		return p.text(owner, data)
+	case kind == typeSOA:
+		return p.authority(at)
+	}
+	return nil
+}
+
+// service reads the data of an SRV record, which begins at an offset.
+func (p *parser) service(at int, data []byte) error {
+	if len(data) < 7 {
+		return errShort
+	}
+	target, after, err := readName(p.msg, at+6)
+	if err != nil {
+		return err
+	}
+	if after != p.at {
+		return errName
+	}
+	s := Service{Name: target, Priority: be.Uint16(data), Weight: be.Uint16(data[2:]), Port: be.Uint16(data[4:])}
+	p.list.Services = append(p.list.Services, s)
+	return nil
+}
+
+// text reads the strings of a TXT record.
+func (p *parser) text(owner string, data []byte) error {
+	for len(data) > 0 {
+		end := 1 + int(data[0])
+		if len(data) < end {
+			return errShort
 		}
-		at = end
+		p.texts[owner] = append(p.texts[owner], string(data[1:end]))
+		data = data[end:]
+	}
+	return nil
+}
+
+// authority reads the serial of an SOA record, behind two names.
+func (p *parser) authority(at int) error {
+	_, after, err := readName(p.msg, at)
+	if err == nil {
+		_, after, err = readName(p.msg, after)
 	}
-	if !serial {
-		return list, errSerial
+	if err != nil {
+		return err
 	}
-	for k := range list.Services {
-		s := &list.Services[k]
-		s.Addr, s.Text = addrs[s.Name], texts[s.Name]
+	if after+20 != p.at {
+		return errShort
 	}
-	return list, nil
+	p.list.Serial, p.serial = be.Uint32(p.msg[after:]), true
+	return nil
 }
 
-// readName reads a name, compressed or not, and gives where it ends. Each pointer must lead further back than
-// the last, so none can lead in a circle.
+// readName reads a name, compressed or not, and returns the offset behind it. Each pointer must lead further back than the last, so
+// that none can form a loop.
 func readName(msg []byte, at int) (name string, end int, err error) {
 	var b [255]byte
 	n, lowest := 0, at
