--- a/fleet/agent/member.go
+++ b/fleet/agent/member.go
@@ -111,9 +111,9 @@
 // Kept is what outlives the process.
 type Kept struct {
 	Marks   []lease.FenceMark `json:"marks" cbor:"1,keyasint"`
-	Floor   uint64       `json:"floor" cbor:"2,keyasint"`
-	Highest uint64       `json:"highest" cbor:"3,keyasint"`
-	Pledged bool         `json:"pledged" cbor:"4,keyasint"` // a part may be laid down
+	Floor   uint64            `json:"floor" cbor:"2,keyasint"`
+	Highest uint64            `json:"highest" cbor:"3,keyasint"`
+	Pledged bool              `json:"pledged" cbor:"4,keyasint"` // a part may be laid down
 }
 
 // whole is one thing with parts.
--- a/internal/coordserver/serve.go
+++ b/internal/coordserver/serve.go
@@ -32,9 +32,9 @@
 
 // Fault is an answer that is an error.
 type Fault struct {
-	Error  string      `json:"error"`
-	Text   string      `json:"text,omitempty"`
-	Leader string      `json:"leader,omitempty"` // address of who leads
+	Error  string           `json:"error"`
+	Text   string           `json:"text,omitempty"`
+	Leader string           `json:"leader,omitempty"` // address of who leads
 	Old    *lease.FenceMark `json:"old,omitempty"`
 }
 
