fairshare: queues, shares, priorities and give-up prices by their names

Tree's Hold is Enqueue, Unhold Dequeue, Begin StartWalk, Sent AttemptStarted, Ended AttemptEnded, May MayStart, Stuck MarkUnplaceable, Due ShareOf, Held Queued, Inside WithinShare, Owe RestoreLevels, Renew Reconfigure, Of TeamOf, Unknown TakeUnknown; Change PriorityChange, Fault SpecError; fields and unexported names follow, admission.Teams too. Lane, Cut, Ahead, GaveUp and Noted stay, as brain.go calls them. No behaviour changes.

--- a/admission/api.go
+++ b/admission/api.go
@@ -94,22 +94,22 @@
 // Teams decides between the commands of teams that compete: which of the held goes next, who may use the short lane, whose
 // running sends step back. A command is known by its place. Package budgets has one. Work is in core seconds.
 type Teams interface {
-	Hold(now float64, at int32, team int, rank, work, threads, due float64) // due: latest time to send it
-	Unhold(at int32)
-	Begin(now float64) // a walk over the held commands, in the order that holds now
-	Next() int32       // the next, -1: none; the same until it is sent or skipped
+	Enqueue(now float64, at int32, team int, rank, work, threads, due float64) // due: latest time to send it
+	Dequeue(at int32)
+	StartWalk(now float64) // a walk over the held commands, in the order that holds now
+	Next() int32           // the next, -1: none; the same until it is sent or skipped
 	Skip(at int32)
-	Stuck(at int32)                              // no engine would take it whatever the places
-	GaveUp(now float64, team int, price float64) // a held command was; price is work per benefit
-	Cut(now float64, team int) float64           // price from which the line gave up of late
-	Due(team int) float64                        // part of the pool among the teams in use
-	Ahead(team int, rank float64) float64        // held work that leaves before a command of that rank would
-	May(now float64, at int32, team int) bool    // take a place now
-	Lane(team int) bool                          // go past full places with a short command
-	Sent(now float64, at int32, team int, work, threads float64, bends bool)
-	Ended(now float64, at int32, work float64)     // that it took; negative: not known, what was expected stays charged
-	Noted(at int32, share float64, spills bool)    // share done
-	Tick(now, capacity float64) []fairshare.Change // levels to change now; core seconds a second of this router's part
+	MarkUnplaceable(at int32)                      // no engine would take it whatever the places
+	GaveUp(now float64, team int, price float64)   // a held command was; price is work per benefit
+	Cut(now float64, team int) float64             // price from which the line gave up of late
+	ShareOf(team int) float64                      // part of the pool among the teams in use
+	Ahead(team int, rank float64) float64          // held work that leaves before a command of that rank would
+	MayStart(now float64, at int32, team int) bool // take a place now
+	Lane(team int) bool                            // go past full places with a short command
+	AttemptStarted(now float64, at int32, team int, work, threads float64, bends bool)
+	AttemptEnded(now float64, at int32, work float64)      // that it took; negative: not known, what was expected stays charged
+	Noted(at int32, share float64, spills bool)            // share done
+	Tick(now, capacity float64) []fairshare.PriorityChange // levels to change now; core seconds a second of this router's part
 }
 
 // Fleet is what this router has heard of work done on behalf of all. Package member has one. Parts are shares of a whole.
--- a/admission/chain.go
+++ b/admission/chain.go
@@ -19,7 +19,7 @@
 func (b *Brain) flush() {
 	const order = 2 // the stage below admit
 	if t := b.set.Teams; t != nil {
-		for t.Begin(b.now); ; {
+		for t.StartWalk(b.now); ; {
 			i := t.Next()
 			if i < 0 {
 				return
--- a/admission/teams.go
+++ b/admission/teams.go
@@ -9,9 +9,9 @@
 	if t := b.set.Teams; t != nil {
 		r := &b.cmds.rec[i]
 		p := &b.prof[r.Profile]
-		t.Hold(b.now, i, r.Team, r.rank, r.cost, float64(p.Threads), r.aim-r.best*max(1, p.slow))
+		t.Enqueue(b.now, i, r.Team, r.rank, r.cost, float64(p.Threads), r.aim-r.best*max(1, p.slow))
 		if !b.usable(r, p) {
-			t.Stuck(i)
+			t.MarkUnplaceable(i)
 		}
 	}
 }
@@ -19,7 +19,7 @@
 func (b *Brain) unhold(i int32) {
 	b.cmds.unhold(i)
 	if t := b.set.Teams; t != nil {
-		t.Unhold(i)
+		t.Dequeue(i)
 	}
 }
 
@@ -32,7 +32,7 @@
 	if !ok { // one that is only looked at again
 		i = -1
 	}
-	return b.set.Teams.May(b.now, i, r.Team)
+	return b.set.Teams.MayStart(b.now, i, r.Team)
 }
 
 // usable tells whether some engine would take the command if it had places.
@@ -51,7 +51,7 @@
 func (b *Brain) charge(i int32, bends bool) {
 	if t := b.set.Teams; t != nil {
 		r := &b.cmds.rec[i]
-		t.Sent(b.now, i, r.Team, r.cost, r.takes, bends)
+		t.AttemptStarted(b.now, i, r.Team, r.cost, r.takes, bends)
 	}
 }
 
@@ -72,7 +72,7 @@
 	case o.End == Cancelled && b.set.Cancels: // it has stopped, and can't have had more than its threads
 		work = min(r.cost, o.Lag*float64(b.prof[r.Profile].Threads))
 	}
-	t.Ended(b.now, i, work)
+	t.AttemptEnded(b.now, i, work)
 }
 
 // turnLevels carries out the changes of levels. A send that is a level down has a quarter of the share (levels are 1 : 4
--- a/admission/waits.go
+++ b/admission/waits.go
@@ -31,7 +31,7 @@
 	}
 	base, part := b.backIn(r, p), 1.0
 	if b.set.Teams != nil {
-		part = b.set.Teams.Due(r.Team)
+		part = b.set.Teams.ShareOf(r.Team)
 	}
 	alone := w.Predict(waittime.Return, r.Team, r.Profile, base)
 	pause, e := w.Refuse(b.now, r.Mark, r.Team, r.Profile, base, r.cost*b.pace/max(b.places(&b.all), 1), part)
--- a/fairshare/levels.go
+++ b/fairshare/levels.go
@@ -1,14 +1,14 @@
 package fairshare
 
-// This file gives what teams have had to a process that comes after this one, and takes it.
+// This file exports what teams have had for a later process, and imports it.
 
-// Levels is how far each team and what teams belong to is ahead of what it shares a parent with, in work over weight: below zero it
-// is owed. Who is even is left out.
+// Levels returns how far each team and group is ahead of its siblings, in work over weight; a negative level is owed. Those that
+// are even are left out.
 func (t *Tree) Levels() map[string]float64 {
 	all := map[string]float64{}
 	for i := range t.nodes {
-		if n := &t.nodes[i]; n.parent >= 0 && n.Name != "" && n.uses > 0 {
-			if ahead := n.v - mean(&t.nodes[n.parent]); ahead != 0 {
+		if n := &t.nodes[i]; n.parent >= 0 && n.Name != "" && n.inUse > 0 {
+			if ahead := n.virtualTime - mean(&t.nodes[n.parent]); ahead != 0 {
 				all[n.Name] = ahead
 			}
 		}
@@ -16,17 +16,17 @@
 	return all
 }
 
-// Owe has teams begin that far ahead of the others. Nothing may be held or out yet. Who is owed gets no more than an idle team saves
-// up anyway.
-func (t *Tree) Owe(levels map[string]float64) {
+// RestoreLevels starts teams that far ahead of their siblings. Nothing may be queued or running yet. A team is owed no more than
+// an idle team saves up.
+func (t *Tree) RestoreLevels(levels map[string]float64) {
 	for i := range t.nodes {
-		if n := &t.nodes[i]; n.parent >= 0 && n.Name != "" && n.uses == 0 {
-			n.v = levels[n.Name]
+		if n := &t.nodes[i]; n.parent >= 0 && n.Name != "" && n.inUse == 0 {
+			n.virtualTime = levels[n.Name]
 		}
 	}
 }
 
-// Find the handle of a team by its name.
+// Find returns the handle of the team with a name.
 func (t *Tree) Find(name string) (team int, ok bool) {
 	team, ok = t.names[name]
 	return team, ok && t.Name(team) == name
--- a/fairshare/levels_test.go
+++ b/fairshare/levels_test.go
@@ -11,17 +11,17 @@
 	play := func(tree *Tree, first int) (a, b float64) { // work that each is let have of eight seconds, both asking all the time
 		at := int32(first)
 		for k := range 2 {
-			tree.Hold(0, at+int32(k), k, 1, 1, 1, math.Inf(1))
+			tree.Enqueue(0, at+int32(k), k, 1, 1, 1, math.Inf(1))
 		}
 		work := [2]float64{}
 		for range 8 {
-			tree.Begin(0)
+			tree.StartWalk(0)
 			next := tree.Next()
 			team := int(next) - first
-			tree.Unhold(next)
-			tree.Sent(0, next, team, 1, 1, false)
-			tree.Ended(0, next, 1)
-			tree.Hold(0, next, team, 1, 1, 1, math.Inf(1))
+			tree.Dequeue(next)
+			tree.AttemptStarted(0, next, team, 1, 1, false)
+			tree.AttemptEnded(0, next, 1)
+			tree.Enqueue(0, next, team, 1, 1, 1, math.Inf(1))
 			work[team]++
 		}
 		return work[0], work[1]
@@ -30,9 +30,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	before.Hold(0, 0, 0, 1, 1, 1, math.Inf(1))
-	before.Hold(0, 1, 1, 1, 1, 1, math.Inf(1))
-	before.Sent(0, 2, 0, 4, 1, false) // a has had four core seconds more
+	before.Enqueue(0, 0, 0, 1, 1, 1, math.Inf(1))
+	before.Enqueue(0, 1, 1, 1, 1, 1, math.Inf(1))
+	before.AttemptStarted(0, 2, 0, 4, 1, false) // a has had four core seconds more
 	levels := before.Levels()
 	if d := levels["a"] - levels["b"]; math.Abs(d-4) > 1e-9 {
 		t.Fatalf("levels %v", levels)
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	after.Owe(levels)
+	after.RestoreLevels(levels)
 	if a, b := play(after, 0); b-a < 2 || b-a > 4 {
 		t.Errorf("after a restart a got %v and b %v of eight: a stands back for what it had more, b has no more credit than an idle team", a, b)
 	}
--- a/fairshare/spec_test.go
+++ b/fairshare/spec_test.go
@@ -47,26 +47,26 @@
 // a name that comes back is the same team.
 func TestRenewed(t *testing.T) {
 	tree := must(t, flat(1, 1))
-	gone := tree.Of(1, nil)
-	tree.Hold(0, 1, gone, 1, 1, 1, 9)
-	tree.Sent(0, 2, gone, 1, 1, true)
+	gone := tree.TeamOf(1, nil)
+	tree.Enqueue(0, 1, gone, 1, 1, 1, 9)
+	tree.AttemptStarted(0, 2, gone, 1, 1, true)
 	bad := flat(1)
 	bad.Nodes[0].Weight = -1
-	if err := tree.Renew(bad); err == nil || tree.Name(gone) != "t1" {
+	if err := tree.Reconfigure(bad); err == nil || tree.Name(gone) != "t1" {
 		t.Fatalf("a bad spec: %v, the team is %q", err, tree.Name(gone))
 	}
-	if err := tree.Renew(flat(1)); err != nil {
+	if err := tree.Reconfigure(flat(1)); err != nil {
 		t.Fatal(err)
 	}
-	if tree.Name(gone) != "t0" || tree.Held(tree.Of(0, nil)) != 1 || tree.Of(1, nil) != tree.Of(0, nil) {
-		t.Errorf("work in hand of a team that is gone is %q's, which holds %d", tree.Name(gone), tree.Held(tree.Of(0, nil)))
+	if tree.Name(gone) != "t0" || tree.Queued(tree.TeamOf(0, nil)) != 1 || tree.TeamOf(1, nil) != tree.TeamOf(0, nil) {
+		t.Errorf("work in hand of a team that is gone is %q's, which holds %d", tree.Name(gone), tree.Queued(tree.TeamOf(0, nil)))
 	}
-	tree.Ended(1, 2, 1)
-	tree.Unhold(1)
-	if err := tree.Renew(flat(1, 1, 1)); err != nil || tree.Of(1, nil) != gone || tree.Name(gone) != "t1" {
+	tree.AttemptEnded(1, 2, 1)
+	tree.Dequeue(1)
+	if err := tree.Reconfigure(flat(1, 1, 1)); err != nil || tree.TeamOf(1, nil) != gone || tree.Name(gone) != "t1" {
 		t.Errorf("%v: a name that comes back has another handle", err)
 	}
-	if tree.Of(7, nil) != tree.Of(0, nil) {
+	if tree.TeamOf(7, nil) != tree.TeamOf(0, nil) {
 		t.Error("a tenant of no team is not the default's")
 	}
 }
@@ -75,12 +75,12 @@
 func TestByCall(t *testing.T) {
 	s := flat(1, 1)
 	tree := must(t, s)
-	if tree.Of(0, []byte("t1")) != tree.Of(0, nil) {
+	if tree.TeamOf(0, []byte("t1")) != tree.TeamOf(0, nil) {
 		t.Error("a call named its team where it must not")
 	}
 	s.ByCall = true
 	tree = must(t, s)
-	if tree.Of(0, []byte("t1")) != tree.Of(1, nil) || tree.Of(1, []byte("x")) != tree.Of(0, nil) || tree.Unknown() != 1 || tree.Unknown() != 0 {
+	if tree.TeamOf(0, []byte("t1")) != tree.TeamOf(1, nil) || tree.TeamOf(1, []byte("x")) != tree.TeamOf(0, nil) || tree.TakeUnknown() != 1 || tree.TakeUnknown() != 0 {
 		t.Error("teams by name are wrong")
 	}
 }
--- a/fairshare/tree_test.go
+++ b/fairshare/tree_test.go
@@ -16,89 +16,6 @@
 	os.Exit(m.Run())
 }
 
-// pool is engines as a Tree sees them: places that run one command each, and what waits for one.
-type pool struct {
-	t     *Tree
-	now   float64
-	free  int
-	runs  []run
-	next  int32
-	jobs  map[int32]job
-	done  map[int]float64 // work by team
-	waits map[int32]float64
-}
-
-type job struct {
-	team    int
-	guess   float64 // expected work
-	work    float64
-	threads int
-	from    float64
-}
-
-type run struct {
-	at    int32
-	until float64
-}
-
-func newPool(t *Tree, places int) *pool {
-	return &pool{t: t, free: places, jobs: map[int32]job{}, done: map[int]float64{}, waits: map[int32]float64{}}
-}
-
-func (p *pool) hold(team int, rank, work float64) int32 {
-	return p.ask(rank, job{team: team, guess: work, work: work, threads: 1}, 1e9)
-}
-
-// ask is a command that has so many seconds until it should be sent.
-func (p *pool) ask(rank float64, j job, patience float64) int32 {
-	at := p.next
-	p.next++
-	j.from = p.now
-	p.jobs[at] = j
-	p.t.Hold(p.now, at, j.team, rank, j.guess, float64(j.threads), p.now+patience)
-	p.fill()
-	return at
-}
-
-func (p *pool) fill() {
-	for p.t.Begin(p.now); p.free > 0; {
-		at := p.t.Next()
-		if at < 0 {
-			return
-		}
-		j := p.jobs[at]
-		if p.free < j.threads || !p.t.May(p.now, at, j.team) {
-			p.t.Skip(at)
-			continue
-		}
-		p.t.Unhold(at)
-		p.t.Sent(p.now, at, j.team, j.guess, float64(j.threads), true)
-		p.waits[at] = p.now - j.from
-		p.free -= j.threads
-		p.runs = append(p.runs, run{at, p.now + j.work})
-	}
-}
-
-// step goes on to the next end.
-func (p *pool) step() {
-	least := 0
-	for k, r := range p.runs {
-		if r.until < p.runs[least].until {
-			least = k
-		}
-	}
-	r := p.runs[least]
-	p.runs = append(p.runs[:least], p.runs[least+1:]...)
-	p.now = max(p.now, r.until)
-	p.t.Tick(p.now, float64(p.free+len(p.runs)+1)) // the place of the one that ends, too
-	j := p.jobs[r.at]
-	p.t.Ended(p.now, r.at, j.work)
-	p.done[j.team] += j.work
-	delete(p.jobs, r.at)
-	p.free += j.threads
-	p.fill()
-}
-
 func flat(weights ...float64) Spec {
 	s := Spec{Default: "t0", Ageing: 0.05, Turns: true, Changes: 20, GuardSpill: true}
 	for k, w := range weights {
@@ -130,7 +47,7 @@
 	for p.now < 2000 {
 		p.step()
 		for k := range 3 {
-			for held := tree.Held(k); held < 50; held++ {
+			for held := tree.Queued(k); held < 50; held++ {
 				p.hold(k, 1, sizes[k])
 			}
 		}
@@ -149,7 +66,7 @@
 	p := newPool(tree, 4)
 	for p.now < 4000 {
 		for k, work := range []float64{4, 0.5} {
-			for held := tree.Held(k); held < 20; held++ {
+			for held := tree.Queued(k); held < 20; held++ {
 				p.hold(k, 1, work)
 			}
 		}
@@ -167,7 +84,7 @@
 	p := newPool(tree, 4)
 	ask := func(teams ...int) {
 		for _, k := range teams {
-			for held := tree.Held(k); held < 20; held++ {
+			for held := tree.Queued(k); held < 20; held++ {
 				p.hold(k, 1, 1)
 			}
 		}
@@ -268,7 +185,7 @@
 	p := newPool(tree, 4)
 	for p.now < 1000 {
 		for k, guess := range []float64{0.1, 1} {
-			for held := tree.Held(k); held < 20; held++ {
+			for held := tree.Queued(k); held < 20; held++ {
 				p.ask(1, job{team: k, guess: guess, work: 1, threads: 1}, 1e9)
 			}
 		}
@@ -288,7 +205,7 @@
 		tree := must(t, s)
 		p := newPool(tree, 4)
 		flood := func() {
-			for held := tree.Held(1); held < 20; held++ {
+			for held := tree.Queued(1); held < 20; held++ {
 				p.ask(1, job{team: 1, guess: 0.1 + float64(p.next%7)/100, work: 0.1 + float64(p.next%7)/100, threads: 1}, 1e9)
 			}
 		}
@@ -315,7 +232,7 @@
 	p := newPool(tree, 8)
 	ask := func(teams ...int) {
 		for _, k := range teams {
-			for held := tree.Held(k); held < 30; held++ {
+			for held := tree.Queued(k); held < 30; held++ {
 				p.hold(k, 1, 0.5)
 			}
 		}
@@ -350,10 +267,10 @@
 	s.Changes = 4
 	tree := must(t, s)
 	for at := range int32(40) {
-		tree.Sent(0, at, 0, 10, 1, true)
+		tree.AttemptStarted(0, at, 0, 10, 1, true)
 	}
 	tree.Tick(0, 40)
-	tree.Hold(0, 100, 1, 1, 1, 1, 2)
+	tree.Enqueue(0, 100, 1, 1, 1, 1, 2)
 	changes := func(now float64) string { return fmt.Sprint(tree.Tick(now, 40)) }
 	for _, c := range []struct {
 		now  float64
@@ -366,16 +283,16 @@
 		{1.3, nil, "[{1 true}]"},
 		{2, func() { tree.Noted(0, 0.2, true) }, "[{0 false}]"},
 		{2.3, nil, "[{2 true}]"},
-		{3, func() { tree.Unhold(100) }, "[]"},
+		{3, func() { tree.Dequeue(100) }, "[]"},
 		{3.4, nil, "[{1 false}]"}, // a second after the last that waited
 		{3.7, nil, "[{2 false}]"},
 		{9, nil, "[]"},
 		{10, func() { // sends that can't be given another level, as where settings know none
 			tree = must(t, s)
 			for at := range int32(40) {
-				tree.Sent(10, at, 0, 10, 1, false)
+				tree.AttemptStarted(10, at, 0, 10, 1, false)
 			}
-			tree.Hold(10, 100, 1, 1, 1, 1, 12)
+			tree.Enqueue(10, 100, 1, 1, 1, 1, 12)
 		}, "[]"},
 		{11.5, nil, "[]"},
 	} {
@@ -410,28 +327,28 @@
 			for k, tree := range two {
 				switch {
 				case what == "hold" && state[at] == "":
-					tree.Hold(now, at, team, work, work, 1, now+2)
+					tree.Enqueue(now, at, team, work, work, 1, now+2)
 				case what == "unhold":
-					tree.Unhold(at)
+					tree.Dequeue(at)
 				case what == "send" && state[at] != "out":
-					tree.Unhold(at)
-					tree.Sent(now, at, team, work, 2, true)
+					tree.Dequeue(at)
+					tree.AttemptStarted(now, at, team, work, 2, true)
 				case what == "end":
-					tree.Ended(now, at, work)
+					tree.AttemptEnded(now, at, work)
 				case what == "refund":
-					tree.Ended(now, at, 0)
+					tree.AttemptEnded(now, at, 0)
 				case what == "keep":
-					tree.Ended(now, at, -1)
+					tree.AttemptEnded(now, at, -1)
 				case what == "tick":
 					said[k] = fmt.Sprint(tree.Tick(now, 20))
 				case what == "renew":
-					if err := tree.Renew(spec); err != nil {
+					if err := tree.Reconfigure(spec); err != nil {
 						t.Fatal(err)
 					}
 				case what == "note":
 					tree.Noted(at, 0.4, work > 25)
 				case what == "ask":
-					said[k] = fmt.Sprint(tree.Ahead(team, work), tree.May(now, at, team), tree.Lane(team))
+					said[k] = fmt.Sprint(tree.Ahead(team, work), tree.MayStart(now, at, team), tree.Lane(team))
 				}
 			}
 			switch {
@@ -464,27 +381,27 @@
 			out++
 		}
 	}
-	if r := &tree.nodes[tree.root]; r.held != held || r.uses != held+out || len(tree.outs) != out {
-		t.Fatalf("%d held, %d in use and %d out, wanted %d held and %d out", r.held, r.uses, len(tree.outs), held, out)
+	if r := &tree.nodes[tree.root]; r.queued != held || r.inUse != held+out || len(tree.running) != out {
+		t.Fatalf("%d held, %d in use and %d out, wanted %d held and %d out", r.queued, r.inUse, len(tree.running), held, out)
 	}
 	for i := range tree.nodes {
 		n := &tree.nodes[i]
-		if (n.held > 0 && int32(i) != tree.root) != (n.place >= 0) {
-			t.Fatalf("node %d holds %d and has place %d", i, n.held, n.place)
+		if (n.queued > 0 && int32(i) != tree.root) != (n.activeIndex >= 0) {
+			t.Fatalf("node %d holds %d and has place %d", i, n.queued, n.activeIndex)
 		}
 		for k, c := range n.active {
-			if tree.nodes[c].place != int32(k) || k > 0 && tree.first(c, n.active[k-1]) {
+			if tree.nodes[c].activeIndex != int32(k) || k > 0 && tree.precedes(c, n.active[k-1]) {
 				t.Fatalf("order of node %d broken at %d", i, k)
 			}
 		}
-		if n.uses > 0 && int32(i) != tree.root {
-			if far := math.Abs(n.v-mean(&tree.nodes[n.parent])) / tree.second(n.parent); math.IsNaN(far) {
+		if n.inUse > 0 && int32(i) != tree.root {
+			if far := math.Abs(n.virtualTime-mean(&tree.nodes[n.parent])) / tree.fullUsePerSecond(n.parent); math.IsNaN(far) {
 				t.Fatalf("node %d is %v s from the mean", i, far)
 			}
 		}
 	}
 	order, seen := "", map[int32]bool{}
-	for tree.Begin(now); ; {
+	for tree.StartWalk(now); ; {
 		at := tree.Next()
 		if at < 0 {
 			break
@@ -498,7 +415,7 @@
 	}
 	stopped := false
 	for i := range tree.nodes {
-		stopped = stopped || tree.stopped(int32(i))
+		stopped = stopped || tree.atCeiling(int32(i))
 	}
 	if len(seen) != held && !stopped {
 		t.Fatalf("the walk brings %d of %d", len(seen), held)
--- a/internal/router/knows.go
+++ b/internal/router/knows.go
@@ -66,7 +66,7 @@
 func (r *Router) Recall(x warmstart.Recalled) {
 	r.set.Brain.Memory = &x.Beliefs
 	if r.teams != nil {
-		r.teams.Owe(x.Teams)
+		r.teams.RestoreLevels(x.Teams)
 	}
 	book := r.set.Brain.Waits
 	if book == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,7 +94,7 @@
 // none.
 func (r *Router) Audit() {
 	if r.teams != nil {
-		if n := r.teams.Unknown(); n > 0 {
+		if n := r.teams.TakeUnknown(); n > 0 {
 			r.log.Warn("calls named unknown teams", zap.Int("calls", n))
 		}
 	}
@@ -212,7 +212,7 @@
 	area, _ := statement.Group(a.Statement)
 	team := 0
 	if r.teams != nil {
-		team = r.teams.Of(tenant, a.Team)
+		team = r.teams.TeamOf(tenant, a.Team)
 	}
 	r.mind.Command(r.now, admission.Command{ID: c.job.ID, Team: team, Mark: r.mark(a), Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
 		Memory: a.Memory, Area: area, Key: key(a.Key)})
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -269,7 +269,7 @@
 	case (len(c.Budgets.Nodes) == 0) != (s.teams == nil):
 		kept = append(kept, "teams") // commands in hand were taken with them, or without
 	case s.teams != nil:
-		if err := s.teams.Renew(c.Budgets); err != nil {
+		if err := s.teams.Reconfigure(c.Budgets); err != nil {
 			s.log.Error("teams of the new configuration", zap.Error(err))
 			return append(kept, "teams")
 		}
