fleet/allocation: grants, relinquishments, shares by their names; rounds in steps

Deal is Grant, Dealer Granter, Pledge Relinquishment, To AddressedGrant, Part Share, Laid Relinquished, Live InUse, Open OpenRound, Hear Receive, Stay RelinquishUntil, Pledged RelinquishedUntil, Terms.Pledge RelinquishFor, Terms.Life GrantLifetime; errors ErrStaleFence, ErrExpired, ErrUnsolicited, ErrBadShare, ErrMemberCount, ErrTooManyMembers, ErrBadNumbers. JSON keys and texts stay. parts.go is terms.go, granter.go and grants.go, where the function of 114 lines is a round in steps. No behaviour changes.

--- a/fleet/agent/answers.go
+++ b/fleet/agent/answers.go
@@ -123,7 +123,7 @@
 		m.session = v.Session
 		if !m.cfg.Clean { // a process of this name before us may have pledged until now
 			for name, w := range m.wholes {
-				w.holder.Stay(min(now, m.cfg.Began+1) + m.termsOf(name).Longest())
+				w.holder.RelinquishUntil(min(now, m.cfg.Began+1) + m.termsOf(name).Longest())
 			}
 		}
 	}
@@ -185,7 +185,7 @@
 	}
 	switch {
 	case x.Pledge != nil && w.dealer != nil:
-		w.dealer.Pledge(now, l.From, l.Incarnation, *x.Pledge)
+		w.dealer.Relinquish(now, l.From, l.Incarnation, *x.Pledge)
 	case x.Deal != nil:
 		rose, err := m.gate.Accept(l.Work, l.Fence)
 		if err != nil || x.Deal.Fence != l.Fence {
@@ -203,12 +203,12 @@
 	}
 }
 
-func (m *Member) hear(now float64, work string, w *whole, d allocation.Deal) {
-	switch err := w.holder.Hear(now, d); {
-	case err == allocation.ErrLate:
+func (m *Member) hear(now float64, work string, w *whole, d allocation.Grant) {
+	switch err := w.holder.Receive(now, d); {
+	case err == allocation.ErrExpired:
 		m.Stats.Late++
 	case err == nil && d.Tag != 0:
-		m.trace(Trace{What: "part", Work: work, Fence: d.Fence, Part: d.Part, At: now, Until: w.holder.Until()})
+		m.trace(Trace{What: "part", Work: work, Fence: d.Fence, Part: d.Share, At: now, Until: w.holder.Until()})
 	}
 }
 
--- a/fleet/agent/member.go
+++ b/fleet/agent/member.go
@@ -119,7 +119,7 @@
 // whole is one thing with parts.
 type whole struct {
 	holder  *allocation.Holder
-	dealer  *allocation.Dealer // while its work is ours
+	dealer  *allocation.Granter // while its work is ours
 	need    float64
 	least   float64
 	zone    string
@@ -280,7 +280,7 @@
 	}
 	key := start{engine, at}
 	if w := m.cold[key]; w != nil {
-		return w.holder.Part(now)
+		return w.holder.Share(now)
 	}
 	return m.unheard(now, m.parts)
 }
@@ -300,7 +300,7 @@
 		return 0, false
 	}
 	if w := m.quotas[tenant]; w != nil {
-		return w.holder.Part(now)
+		return w.holder.Share(now)
 	}
 	return m.unheard(now, m.quota)
 }
@@ -421,7 +421,7 @@
 		if w.dealer != nil {
 			m.letGo(now, name)
 		}
-		if now >= w.holder.Pledged() {
+		if now >= w.holder.RelinquishedUntil() {
 			delete(m.wholes, name)
 			delete(m.cold, w.key)
 			if k := slices.Index(m.quotas, w); k >= 0 {
@@ -440,7 +440,7 @@
 // laid is how many wholes this process has an unfinished pledge for.
 func (m *Member) laid(now float64) (n int) {
 	for _, w := range m.wholes {
-		if now < w.holder.Pledged() {
+		if now < w.holder.RelinquishedUntil() {
 			n++
 		}
 	}
@@ -516,7 +516,7 @@
 // Live is what the owner of a whole has dealt and what may still be in use of it, 0 where it isn't ours.
 func (m *Member) Live(now float64, work string) float64 {
 	if w := m.wholes[work]; w != nil && w.dealer != nil {
-		return w.dealer.Live(now)
+		return w.dealer.InUse(now)
 	}
 	return 0
 }
--- a/fleet/agent/member_test.go
+++ b/fleet/agent/member_test.go
@@ -66,7 +66,7 @@
 	k := newTalk(t, Config{Clean: true})
 	k.tick(0.1)
 	work := cold.work(Warmth)
-	k.view(coordinator.View{Number: 1, Works: []coordinator.Seen{{Work: work, Fence: 3, Owner: "n2"}}, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 1}})}})
+	k.view(coordinator.View{Number: 1, Works: []coordinator.Seen{{Work: work, Fence: 3, Owner: "n2"}}, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Grant{Fence: 3, Round: 1}})}})
 	k.tick(0.1)
 	mail := k.take("mail").Mail
 	var w word
@@ -76,7 +76,7 @@
 	if part, ok := k.m.Part(k.now, 7, 3); !ok || part != 0 {
 		t.Errorf("pledged, and it uses %v %v", part, ok)
 	}
-	answer := allocation.Deal{Fence: 3, Round: 1, Tag: w.Pledge.Tag, Part: 0.4, Life: 1.5}
+	answer := allocation.Grant{Fence: 3, Round: 1, Tag: w.Pledge.Tag, Share: 0.4, Lifetime: 1.5}
 	k.tick(0.1)
 	k.view(coordinator.View{Number: 2, Mail: []coordinator.Letter{deal(3, word{Deal: &answer, For: 40})}})
 	if part, _ := k.m.Part(k.now, 7, 3); part != 0 {
@@ -88,7 +88,7 @@
 		t.Errorf("a deal for us gave %v %v", part, ok)
 	}
 	k.tick(0.1)
-	k.view(coordinator.View{Number: 4, Mail: []coordinator.Letter{deal(4, word{Deal: &allocation.Deal{Fence: 4, Round: 1}}), deal(3, word{Deal: &answer, For: 41})}})
+	k.view(coordinator.View{Number: 4, Mail: []coordinator.Letter{deal(4, word{Deal: &allocation.Grant{Fence: 4, Round: 1}}), deal(3, word{Deal: &answer, For: 41})}})
 	if k.m.Stats.Refused != 1 {
 		t.Errorf("%d letters under an old fence were refused", k.m.Stats.Refused)
 	}
@@ -125,7 +125,7 @@
 	}
 	k.tick(0.1)
 	k.m.kept.Pledged = false // as an earlier process left it at its clean end
-	k.view(coordinator.View{Number: 1, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 1}})}})
+	k.view(coordinator.View{Number: 1, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Grant{Fence: 3, Round: 1}})}})
 	k.tick(0.1)
 	r := k.take("keep")
 	if k.m.Kept(r.Seq, *r.Keep, nil); k.m.Stats.Pledges != 0 {
@@ -162,7 +162,7 @@
 		return false
 	}
 	k.tick(0.1)
-	k.view(coordinator.View{Number: 1, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 1}})}})
+	k.view(coordinator.View{Number: 1, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Grant{Fence: 3, Round: 1}})}})
 	for n := 0; k.m.Stats.Pledges == 0; n++ {
 		if n == 10 {
 			t.Fatal("it pledges nothing")
@@ -177,7 +177,7 @@
 	} else {
 		k.open = append(k.open, r)
 	}
-	k.view(coordinator.View{Number: 2, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Deal{Fence: 3, Round: 9}})}})
+	k.view(coordinator.View{Number: 2, Mail: []coordinator.Letter{deal(3, word{Deal: &allocation.Grant{Fence: 3, Round: 9}})}})
 	before := k.m.Stats.Pledges
 	if k.tick(0.1); k.m.Stats.Pledges > before {
 		t.Error("it pledges while the disk is being told that nothing is pledged")
--- a/fleet/agent/works.go
+++ b/fleet/agent/works.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		if w.dealer == nil || w.dealer.Fence() != c.Fence {
-			w.dealer, w.opened = allocation.NewDealer(m.termsOf(c.Work), c.Fence, m.round, now), math.Inf(-1)
+			w.dealer, w.opened = allocation.NewGranter(m.termsOf(c.Work), c.Fence, m.round, now), math.Inf(-1)
 		}
 		// A deal counts from now on wherever it gets to, so nothing is to be taken off for its way.
 		now := m.at(now)
@@ -41,18 +41,18 @@
 		if now-w.opened >= every {
 			w.opened = now
 			m.trace(Trace{What: "act", Work: c.Work, Fence: fence, At: now, Until: m.owner.Until()})
-			d := allocation.Deal{Fence: fence, Round: w.dealer.Open(now)}
+			d := allocation.Grant{Fence: fence, Round: w.dealer.OpenRound(now)}
 			m.round = max(m.round, d.Round)
 			m.write(c.Work, fence, "*", word{Deal: &d})
-			w.holder.Hear(now, d)
+			w.holder.Receive(now, d)
 		}
-		for _, to := range w.dealer.Deal(now) {
+		for _, to := range w.dealer.Grants(now) {
 			m.Stats.Dealt++
 			if to.Name == m.cfg.Name && to.Incarnation == m.cfg.Incarnation {
-				m.hear(now, c.Work, w, to.Deal)
+				m.hear(now, c.Work, w, to.Grant)
 				continue
 			}
-			m.write(c.Work, fence, to.Name, word{Deal: &to.Deal, For: to.Incarnation})
+			m.write(c.Work, fence, to.Name, word{Deal: &to.Grant, For: to.Incarnation})
 		}
 	}
 }
@@ -93,10 +93,10 @@
 
 // word is a letter's body.
 type word struct {
-	Deal   *allocation.Deal   `json:"deal,omitempty"`
-	For    uint64             `json:"for,omitempty"` // the incarnation that a deal answers
-	Pledge *allocation.Pledge `json:"pledge,omitempty"`
-	Report *failover.Report   `json:"report,omitempty"`
+	Deal   *allocation.Grant          `json:"deal,omitempty"`
+	For    uint64                     `json:"for,omitempty"` // the incarnation that a deal answers
+	Pledge *allocation.Relinquishment `json:"pledge,omitempty"`
+	Report *failover.Report           `json:"report,omitempty"`
 }
 
 func (m *Member) write(work string, fence uint64, to string, w word) {
@@ -120,15 +120,15 @@
 			}
 			return // a process that comes after this one has to know
 		}
-		p, ok := w.holder.Pledge(now, w.need, w.least)
+		p, ok := w.holder.Relinquish(now, w.need, w.least)
 		if !ok {
 			continue
 		}
 		m.Stats.Pledges++
-		m.trace(Trace{What: "laid", Work: name, Fence: fence, At: now, Until: w.holder.Pledged()})
+		m.trace(Trace{What: "laid", Work: name, Fence: fence, At: now, Until: w.holder.RelinquishedUntil()})
 		w.fence, w.pledged = fence, round
 		if w.dealer != nil && w.dealer.Fence() == fence {
-			w.dealer.Pledge(now, m.cfg.Name, m.cfg.Incarnation, p)
+			w.dealer.Relinquish(now, m.cfg.Name, m.cfg.Incarnation, p)
 			continue
 		}
 		m.write(name, 0, "", word{Pledge: &p})
--- a/fleet/allocation/parts_test.go
+++ b/fleet/allocation/allocation_test.go
@@ -29,8 +29,8 @@
 // letter is on its way.
 type letter struct {
 	at     float64
-	pledge *Pledge
-	deal   *Deal
+	pledge *Relinquishment
+	deal   *Grant
 	from   *process
 	to     *process
 	owner  int
@@ -57,7 +57,7 @@
 		current[k] = start(fmt.Sprint("n", k), 1, 0, true)
 	}
 	type owner struct {
-		d      *Dealer
+		d      *Granter
 		clock  clock
 		until  float64 // end of its lease in true time
 		asleep float64
@@ -68,7 +68,7 @@
 	acquire := func(now float64) {
 		fence++
 		o := &owner{clock: drift(), until: now + 1 + 20*rnd.Float64()}
-		o.d = NewDealer(terms, fence, 0, o.clock.at(now))
+		o.d = NewGranter(terms, fence, 0, o.clock.at(now))
 		owners = append(owners, o)
 	}
 	acquire(0)
@@ -119,24 +119,24 @@
 			}
 			mine := o.clock.at(now)
 			if rnd.Float64() < 0.004 { // it has lost its account, and has its fence
-				o.d = NewDealer(terms, o.d.Fence(), o.round, mine)
+				o.d = NewGranter(terms, o.d.Fence(), o.round, mine)
 			}
 			if n%10 == 0 {
-				round := o.d.Open(mine)
+				round := o.d.OpenRound(mine)
 				o.round = round
 				for _, p := range current {
-					send(letter{at: now + way(), deal: &Deal{Fence: o.d.Fence(), Round: round}, to: p, owner: k})
+					send(letter{at: now + way(), deal: &Grant{Fence: o.d.Fence(), Round: round}, to: p, owner: k})
 				}
 			}
-			for _, to := range o.d.Deal(mine) {
-				dealtOut += to.Part
+			for _, to := range o.d.Grants(mine) {
+				dealtOut += to.Share
 				for _, p := range all {
 					if p.name == to.Name && p.life == to.Incarnation {
-						send(letter{at: now + way(), deal: &to.Deal, to: p, owner: k})
+						send(letter{at: now + way(), deal: &to.Grant, to: p, owner: k})
 					}
 				}
 			}
-			if live, laid := o.d.Live(mine), o.d.Laid(mine, mine); live > laid+1e-9 {
+			if live, laid := o.d.InUse(mine), o.d.Relinquished(mine, mine); live > laid+1e-9 {
 				return worst, dealtOut, fmt.Errorf("seed %d at %.2f: %v live of %v laid down", seed, now, live, laid)
 			}
 		}
@@ -150,7 +150,7 @@
 					l.at = o.asleep
 					rest = append(rest, l)
 				} else {
-					o.d.Pledge(o.clock.at(now), l.from.name, l.from.life, *l.pledge)
+					o.d.Relinquish(o.clock.at(now), l.from.name, l.from.life, *l.pledge)
 				}
 			case l.to.dead:
 			case now < l.to.asleep:
@@ -158,9 +158,9 @@
 				rest = append(rest, l)
 			default:
 				mine := l.to.clock.at(now)
-				if l.to.h.Hear(mine, *l.deal) == nil && l.deal.Tag == 0 && now >= l.to.quiet {
+				if l.to.h.Receive(mine, *l.deal) == nil && l.deal.Tag == 0 && now >= l.to.quiet {
 					need := rnd.Float64() * 3 / float64(members)
-					if p, ok := l.to.h.Pledge(mine, need, need*rnd.Float64()); ok {
+					if p, ok := l.to.h.Relinquish(mine, need, need*rnd.Float64()); ok {
 						send(letter{at: now + way(), pledge: &p, from: l.to, owner: l.owner})
 					}
 				}
@@ -172,7 +172,7 @@
 			part := 0.0
 			if !p.dead { // asleep ones too: they may go on with what they were about to do
 				var ok bool
-				if part, ok = p.h.Part(p.clock.at(now)); !ok {
+				if part, ok = p.h.Share(p.clock.at(now)); !ok {
 					part = 1 / float64(terms.Members)
 				}
 			}
@@ -224,27 +224,27 @@
 
 func servesNeed(t rapid.TB, n int, least float64) {
 	terms := Standard(n, 1, 0.05)
-	d := NewDealer(terms, 7, 0, 0)
+	d := NewGranter(terms, 7, 0, 0)
 	served := map[string]int{}
 	now := 10.0
 	for range 24 * n {
-		round := d.Open(now)
+		round := d.OpenRound(now)
 		for k := range n {
 			need := 0.0
 			if k%2 == 0 {
 				need = max(least, 2/float64(n))
 			}
-			d.Pledge(now+0.1, fmt.Sprint(k), 1, Pledge{Fence: d.Fence(), Round: round, Tag: round, Need: need, Least: least, Members: n, Lays: terms.Pledge})
+			d.Relinquish(now+0.1, fmt.Sprint(k), 1, Relinquishment{Fence: d.Fence(), Round: round, Tag: round, Need: need, Least: least, Members: n, Duration: terms.RelinquishFor})
 		}
 		sum := 0.0
-		for _, to := range d.Deal(now + 0.2) {
-			sum += to.Part
-			if to.Part >= least-1e-6 { // a rounding less is as good
+		for _, to := range d.Grants(now + 0.2) {
+			sum += to.Share
+			if to.Share >= least-1e-6 { // a rounding less is as good
 				served[to.Name]++
 			}
 		}
-		if sum > 1+1e-9 || d.Live(now+0.2) > 1+1e-9 {
-			t.Fatalf("%v dealt, %v live", sum, d.Live(now+0.2))
+		if sum > 1+1e-9 || d.InUse(now+0.2) > 1+1e-9 {
+			t.Fatalf("%v dealt, %v live", sum, d.InUse(now+0.2))
 		}
 		now += 0.5
 	}
@@ -258,25 +258,25 @@
 // TestLapse: when all but one member stop pledging, what that one was dealt of theirs is not renewed past their pledges.
 func TestLapse(t *testing.T) {
 	terms := Standard(4, 1, 0.05)
-	d := NewDealer(terms, 7, 0, 0)
+	d := NewGranter(terms, 7, 0, 0)
 	for n := range 60 {
 		now := 10 + float64(n)/2
-		round := d.Open(now)
+		round := d.OpenRound(now)
 		for k := range 4 {
 			if k == 0 || n < 20 {
 				need := 0.01
 				if k == 0 {
 					need = 0.9
 				}
-				d.Pledge(now, fmt.Sprint(k), 1, Pledge{Fence: 7, Round: round, Tag: round, Need: need, Members: 4, Lays: terms.Pledge})
+				d.Relinquish(now, fmt.Sprint(k), 1, Relinquishment{Fence: 7, Round: round, Tag: round, Need: need, Members: 4, Duration: terms.RelinquishFor})
 			}
 		}
-		d.Deal(now)
+		d.Grants(now)
 		own := 0.0 // equal parts that came back
-		if lapsed := 10 + 19.0/2 + terms.Pledge*(1-0.05); now > lapsed {
+		if lapsed := 10 + 19.0/2 + terms.RelinquishFor*(1-0.05); now > lapsed {
 			own = 0.75
 		}
-		if sum := d.Live(now) + own; sum > 1+1e-9 {
+		if sum := d.InUse(now) + own; sum > 1+1e-9 {
 			t.Fatalf("%v at %v", sum, now)
 		}
 	}
@@ -287,63 +287,63 @@
 func TestHeldDeal(t *testing.T) {
 	terms := Standard(4, 1, 0.05)
 	h := NewHolder(terms, 100, true)
-	if part, ok := h.Part(100); ok {
+	if part, ok := h.Share(100); ok {
 		t.Fatalf("%v without a pledge", part)
 	}
-	h.Hear(100, Deal{Fence: 5, Round: 1})
-	p, _ := h.Pledge(100, 1, 0)
-	deal := Deal{Fence: 5, Round: 1, Tag: p.Tag, Part: 0.7, Life: 60}
-	if err := h.Hear(130, deal); err != ErrLate {
+	h.Receive(100, Grant{Fence: 5, Round: 1})
+	p, _ := h.Relinquish(100, 1, 0)
+	deal := Grant{Fence: 5, Round: 1, Tag: p.Tag, Share: 0.7, Lifetime: 60}
+	if err := h.Receive(130, deal); err != ErrExpired {
 		t.Errorf("held for 30 s: %v", err)
 	}
-	h.Hear(130, Deal{Fence: 5, Round: 2})
-	p, _ = h.Pledge(130, 1, 0)
-	if err := h.Hear(130.1, Deal{Fence: 5, Tag: 99, Part: 0.7, Life: 1}); err != ErrUnasked {
+	h.Receive(130, Grant{Fence: 5, Round: 2})
+	p, _ = h.Relinquish(130, 1, 0)
+	if err := h.Receive(130.1, Grant{Fence: 5, Tag: 99, Share: 0.7, Lifetime: 1}); err != ErrUnsolicited {
 		t.Errorf("not asked for: %v", err)
 	}
-	h.Hear(130.1, Deal{Fence: 6, Round: 1})
-	if err := h.Hear(130.2, Deal{Fence: 5, Tag: p.Tag, Part: 0.7, Life: 1}); err != ErrOld {
+	h.Receive(130.1, Grant{Fence: 6, Round: 1})
+	if err := h.Receive(130.2, Grant{Fence: 5, Tag: p.Tag, Share: 0.7, Lifetime: 1}); err != ErrStaleFence {
 		t.Errorf("under the old fence: %v", err)
 	}
-	if part, ok := h.Part(130.3); !ok || part != 0 {
+	if part, ok := h.Share(130.3); !ok || part != 0 {
 		t.Errorf("pledged and nothing dealt: %v %v", part, ok)
 	}
-	if _, ok := h.Part(130 + terms.Pledge); ok {
+	if _, ok := h.Share(130 + terms.RelinquishFor); ok {
 		t.Error("the equal part does not come back")
 	}
-	if part, ok := NewHolder(terms, 10, false).Part(11); !ok || part != 0 {
+	if part, ok := NewHolder(terms, 10, false).Share(11); !ok || part != 0 {
 		t.Errorf("a process that another may have pledged for uses %v %v", part, ok)
 	}
 }
 
 func BenchmarkDeal(b *testing.B) {
 	terms := Standard(300, 1, 0.05)
-	d := NewDealer(terms, 1, 0, 0)
+	d := NewGranter(terms, 1, 0, 0)
 	for n := range b.N {
 		now := 10 + float64(n)/2
-		round := d.Open(now)
+		round := d.OpenRound(now)
 		for k := range 300 {
-			d.Pledge(now, fmt.Sprint(k), 1, Pledge{Fence: d.Fence(), Round: round, Tag: round, Need: 0.01, Members: 300, Lays: terms.Pledge})
+			d.Relinquish(now, fmt.Sprint(k), 1, Relinquishment{Fence: d.Fence(), Round: round, Tag: round, Need: 0.01, Members: 300, Duration: terms.RelinquishFor})
 		}
-		d.Deal(now + 0.2)
+		d.Grants(now + 0.2)
 	}
 }
 
 // TestRoundsGoOn: an owner that has lost its account, and kept its fence, takes no pledge for one of its old rounds for a new one.
 func TestRoundsGoOn(t *testing.T) {
 	terms := Standard(4, 1, 0.05)
-	d := NewDealer(terms, 7, 0, 0)
-	round := d.Open(10)
-	late := Pledge{Fence: 7, Round: round, Tag: 1, Need: 1, Members: 4, Lays: terms.Pledge}
-	d = NewDealer(terms, 7, round, 20)
+	d := NewGranter(terms, 7, 0, 0)
+	round := d.OpenRound(10)
+	late := Relinquishment{Fence: 7, Round: round, Tag: 1, Need: 1, Members: 4, Duration: terms.RelinquishFor}
+	d = NewGranter(terms, 7, round, 20)
 	for k := range 6 {
-		d.Open(40 + float64(k)/2)
-		if err := d.Pledge(40.1+float64(k)/2, "n1", 1, late); err != ErrRound {
+		d.OpenRound(40 + float64(k)/2)
+		if err := d.Relinquish(40.1+float64(k)/2, "n1", 1, late); err != ErrRound {
 			t.Fatalf("a pledge of half a minute ago: %v", err)
 		}
 	}
-	if d.Laid(43, 43) > 0 {
-		t.Errorf("%v laid down", d.Laid(43, 43))
+	if d.Relinquished(43, 43) > 0 {
+		t.Errorf("%v laid down", d.Relinquished(43, 43))
 	}
 }
 
@@ -352,23 +352,23 @@
 func TestWaiting(t *testing.T) {
 	const n = 20
 	terms := Standard(n, 1, 0.05)
-	d := NewDealer(terms, 7, 0, 0)
+	d := NewGranter(terms, 7, 0, 0)
 	others, most, served := 0.0, 0.0, 0
 	for step := range 120 {
 		now := 10 + float64(step)/2
-		round := d.Open(now)
+		round := d.OpenRound(now)
 		for k := range n {
 			need, least := 0.1, 0.002
 			if k == 0 && step >= 40 && step < 60 { // a process that has just started, and knows no work yet
 				need, least = 0.5, 0.25
 			}
-			d.Pledge(now+0.1, fmt.Sprint(k), 1, Pledge{Fence: 7, Round: round, Tag: round, Need: need, Least: least, Members: n, Lays: terms.Pledge})
+			d.Relinquish(now+0.1, fmt.Sprint(k), 1, Relinquishment{Fence: 7, Round: round, Tag: round, Need: need, Least: least, Members: n, Duration: terms.RelinquishFor})
 		}
 		sum := 0.0
-		for _, to := range d.Deal(now + 0.2) {
+		for _, to := range d.Grants(now + 0.2) {
 			if to.Name != "0" {
-				sum += to.Part
-			} else if to.Part >= 0.25 {
+				sum += to.Share
+			} else if to.Share >= 0.25 {
 				served++
 			}
 		}
--- a/fleet/allocation/holder.go
+++ b/fleet/allocation/holder.go
@@ -5,47 +5,49 @@
 	"math"
 )
 
-// Holder is a member's account of one whole. One owner's goroutine has it.
+// Holder is a member's account of one quota. It is not safe for concurrent use.
 type Holder struct {
-	terms   Terms
-	fence   uint64 // highest heard
-	round   uint64 // last heard under it
-	pledged float64
-	asks    [16]ask // of late, by tag
-	tag     uint64
-	taken   uint64 // tag of the last deal that counts
-	part    float64
-	until   float64
+	terms             Terms
+	fence             uint64 // highest received
+	round             uint64 // last announced under it
+	relinquishedUntil float64
+	sent              [16]sentTag // the latest, by tag
+	tag               uint64
+	appliedTag        uint64 // of the last grant that counts
+	share             float64
+	until             float64
 }
 
-type ask struct {
-	tag  uint64
-	sent float64
+// sentTag is when the relinquishment of a tag was sent.
+type sentTag struct {
+	tag uint64
+	at  float64
 }
 
-// NewHolder of a process that began at that time. clean: no earlier process of its name can have pledged; else it lays its equal
-// part down until what that one may have pledged is over.
+// NewHolder returns the account of a process that began at the given time. clean: no earlier process of its name can have
+// relinquished anything; else the equal share is not used until that would be over.
 func NewHolder(t Terms, began float64, clean bool) *Holder {
-	h := &Holder{terms: t, pledged: math.Inf(-1), until: math.Inf(-1)}
+	h := &Holder{terms: t, relinquishedUntil: math.Inf(-1), until: math.Inf(-1)}
 	if !clean {
-		h.pledged = began + t.Longest()
+		h.relinquishedUntil = began + t.Longest()
 	}
 	return h
 }
 
-// Why a deal does not count.
+// Why a grant does not count.
 var (
-	ErrOld     = errors.New("a deal under an old fence")
-	ErrLate    = errors.New("a deal whose life is over")
-	ErrUnasked = errors.New("a deal that answers no pledge of this process")
-	ErrPart    = errors.New("a deal whose part is none")
+	ErrStaleFence  = errors.New("a deal under an old fence")
+	ErrExpired     = errors.New("a deal whose life is over")
+	ErrUnsolicited = errors.New("a deal that answers no pledge of this process")
+	ErrBadShare    = errors.New("a deal whose part is none")
 )
 
-// Hear takes an owner's word. Under a higher fence it is a new owner's, who deals only when nothing of the last one's lives.
-func (h *Holder) Hear(now float64, d Deal) error {
+// Receive takes an owner's grant, or returns why it does not count. A higher fence is a new owner's, who grants only when no grant
+// of the last one is in use.
+func (h *Holder) Receive(now float64, d Grant) error {
 	switch {
 	case d.Fence < h.fence:
-		return ErrOld
+		return ErrStaleFence
 	case d.Fence > h.fence:
 		h.fence, h.round = d.Fence, 0
 	}
@@ -53,60 +55,62 @@
 	if d.Tag == 0 {
 		return nil
 	}
-	a := h.asks[d.Tag%uint64(len(h.asks))]
+	a := h.sent[d.Tag%uint64(len(h.sent))]
 	switch {
 	case a.tag != d.Tag:
-		return ErrUnasked
-	case !(d.Part >= 0 && d.Part <= 1) || !(d.Life >= 0):
-		return ErrPart
-	case d.Tag <= h.taken:
-		return nil // a newer one counts
+		return ErrUnsolicited
+	case !(d.Share >= 0 && d.Share <= 1) || !(d.Lifetime >= 0):
+		return ErrBadShare
+	case d.Tag <= h.appliedTag:
+		return nil // a newer grant counts
 	}
-	until := a.sent + h.terms.least(min(d.Life, h.terms.Life))
+	until := a.at + h.terms.shortest(min(d.Lifetime, h.terms.GrantLifetime))
 	if until <= now {
-		return ErrLate
+		return ErrExpired
 	}
-	h.taken, h.part, h.until = d.Tag, d.Part, until
+	h.appliedTag, h.share, h.until = d.Tag, d.Share, until
 	return nil
 }
 
-// Pledge lays the equal part down and gives the word for it; ok is false where no round was heard of. The part counts as laid
-// down from now on, whatever becomes of the word.
-func (h *Holder) Pledge(now, need, least float64) (p Pledge, ok bool) {
+// Relinquish gives the equal share up and returns the message that says so; ok is false where no round was announced. The share
+// counts as relinquished from now on, whether or not the message arrives.
+func (h *Holder) Relinquish(now, need, least float64) (p Relinquishment, ok bool) {
 	if h.round == 0 {
 		return p, false
 	}
 	h.tag++
-	h.asks[h.tag%uint64(len(h.asks))] = ask{h.tag, now}
-	h.pledged = max(h.pledged, now+h.terms.Pledge)
-	return Pledge{Fence: h.fence, Round: h.round, Tag: h.tag, Need: need, Least: least, Members: h.terms.Members, Lays: h.terms.Pledge}, true
+	h.sent[h.tag%uint64(len(h.sent))] = sentTag{h.tag, now}
+	h.relinquishedUntil = max(h.relinquishedUntil, now+h.terms.RelinquishFor)
+	return Relinquishment{Fence: h.fence, Round: h.round, Tag: h.tag, Need: need, Least: least, Members: h.terms.Members, Duration: h.terms.RelinquishFor}, true
 }
 
-// Part of the whole that may be used now. ok is false where nothing was pledged: the equal part.
-func (h *Holder) Part(now float64) (part float64, ok bool) {
+// Share returns the share that may be used now. ok is false where nothing is relinquished: the equal share.
+func (h *Holder) Share(now float64) (part float64, ok bool) {
 	switch {
 	case now < h.until:
-		return h.part, true
-	case now < h.pledged:
+		return h.share, true
+	case now < h.relinquishedUntil:
 		return 0, true
 	}
 	return 0, false
 }
 
-// Stay lays the equal part down until then at least: another process of this name may have pledged until now.
-func (h *Holder) Stay(until float64) { h.pledged = max(h.pledged, until) }
+// RelinquishUntil gives the equal share up until then at least: another process of this name may have relinquished it.
+func (h *Holder) RelinquishUntil(until float64) {
+	h.relinquishedUntil = max(h.relinquishedUntil, until)
+}
 
-// Pledged is until when the equal part is laid down.
-func (h *Holder) Pledged() float64 { return h.pledged }
+// RelinquishedUntil returns until when the equal share is relinquished.
+func (h *Holder) RelinquishedUntil() float64 { return h.relinquishedUntil }
 
-// Terms as the keepers have them.
+// Terms sets the terms that the coordinators use.
 func (h *Holder) Terms(t Terms) { h.terms = t }
 
-// Round that was last heard of under the highest fence, 0: none.
+// Round returns the last round announced under the highest fence, or 0.
 func (h *Holder) Round() uint64 { return h.round }
 
-// Until is when the part that was dealt last may be used no more.
+// Until returns when the last granted share ends.
 func (h *Holder) Until() float64 { return h.until }
 
-// Fence is the highest that was heard.
+// Fence returns the highest fence received.
 func (h *Holder) Fence() uint64 { return h.fence }
