--- a/cmd/dunekeep/main.go
+++ b/cmd/dunekeep/main.go
@@ -12,6 +12,7 @@
 
 	"dunereach/internal/coordserver"
 	"dunereach/internal/logs"
+	"dunereach/internal/seconds"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -32,14 +33,15 @@
 		Long: `Dunekeep is one of the three or five keepers of a fleet's record. Routers serve without it; with it they do some work once
 for all (docs/fleet.md). Its folder is its memory: it must not be copied, shared or put back from a backup.`}
 	var name, keepers, token, listen, zone, ask string
-	var lease, drift float64
+	lease := seconds.Flag(4)
+	var drift float64
 	var options coordserver.Options
 	begin := &cobra.Command{Use: "init FOLDER", Short: "Make the folder of one keeper of a new record", Args: cobra.ExactArgs(1),
 		Long: `Init begins a record. Run it once for each keeper, with the same --keepers; the first prints the record's token, which the
 others are given by --record. All of them have to run before the record begins.`,
 		Example: `  dunekeep init /var/lib/dunekeep --name k1 --keepers k1=10.0.0.1:7001@east,k2=10.0.0.2:7001@east,k3=10.0.1.1:7001@west`,
 		RunE: func(c *cobra.Command, args []string) error {
-			id, err := coordserver.Init(args[0], name, keepers, token, lease, drift)
+			id, err := coordserver.Init(args[0], name, keepers, token, float64(lease), drift)
 			if err == nil {
 				_, err = fmt.Fprintln(c.OutOrStdout(), id.Token)
 			}
@@ -49,7 +51,7 @@
 	f.StringVar(&name, "name", "", "this keeper's name, one of --keepers")
 	f.StringVar(&keepers, "keepers", "", "all keepers: NAME=ADDRESS:PORT@ZONE, separated by commas")
 	f.StringVar(&token, "record", "", "the record's token, for all but the first keeper")
-	f.Float64Var(&lease, "lease", 4, "seconds after which a silent router's works are given to others")
+	f.Var(&lease, "lease", "after which a silent router's works are given to others: 2s, 500ms, or a number of seconds")
 	f.Float64Var(&drift, "drift", 0.05, "by what share any process's clock may run fast or slow")
 	begin.MarkFlagRequired("name")
 	begin.MarkFlagRequired("keepers")
--- a/fleet/coordinator/group.go
+++ b/fleet/coordinator/group.go
@@ -38,6 +38,10 @@
 	}
 	switch o.Kind {
 	case "release":
+		if x := k.rec.Work(o.Work); o.Fence != 0 && x != nil && (x.Owner == 0 || x.Fence != o.Fence) {
+			k.answer(request, Posted{}, nil) // repeated: that owner has let go
+			return
+		}
 		k.propose(registry.Entry{Kind: registry.Ask, Work: o.Work}, func(_ uint64, err error) { k.answer(request, Posted{}, err) })
 	case "say":
 		k.propose(registry.Entry{Kind: registry.Say, Work: o.Work, Body: o.Body}, func(_ uint64, err error) { k.answer(request, Posted{}, err) })
--- a/fleet/coordinator/keeping_test.go
+++ b/fleet/coordinator/keeping_test.go
@@ -164,3 +164,42 @@
 		t.Errorf("the living process's session: %+v", s)
 	}
 }
+
+// TestReleaseOnce: an order to release that is repeated asks the owner that it names, and no later one.
+func TestReleaseOnce(t *testing.T) {
+	l := newLone(t)
+	l.run(3)
+	propose := func(e registry.Entry) {
+		t.Helper()
+		l.k.propose(e, func(_ uint64, err error) {
+			if err != nil {
+				t.Errorf("%v: %v", e.Kind, err)
+			}
+		})
+		l.carry()
+	}
+	order := func(fence uint64) error {
+		l.request++
+		l.k.Order(l.now, l.request, &Order{Kind: "release", Work: "w", Fence: fence})
+		l.carry()
+		return l.answers[l.request].Err
+	}
+	propose(registry.Entry{Kind: registry.Open, Name: "n1", Incarnation: 1})
+	session := l.k.rec.Sessions()[0].ID
+	propose(registry.Entry{Kind: registry.Assign, Work: "w", Session: session})
+	first := l.k.rec.Work("w").Fence
+	if err := order(first); err != nil || !l.k.rec.Work("w").Asked {
+		t.Fatalf("%v, asked %v", err, l.k.rec.Work("w").Asked)
+	}
+	if err := order(first); err != nil {
+		t.Errorf("repeated while it owns: %v", err)
+	}
+	propose(registry.Entry{Kind: registry.Release, Work: "w", Session: session, Fence: first})
+	if err := order(first); err != nil {
+		t.Errorf("repeated when it has let go: %v", err)
+	}
+	propose(registry.Entry{Kind: registry.Assign, Work: "w", Session: session})
+	if err := order(first); err != nil || l.k.rec.Work("w").Asked {
+		t.Errorf("repeated under a later owner: %v, asked %v", err, l.k.rec.Work("w").Asked)
+	}
+}
--- a/fleet/coordinator/words.go
+++ b/fleet/coordinator/words.go
@@ -88,9 +88,12 @@
 	Kind string `json:"kind"` // "release" a work, "say" something as one, "join" or "leave" of a keeper
 	Body []byte `json:"body,omitempty"`
 	Work string `json:"work,omitempty"`
-	Name string `json:"name,omitempty"`
-	Addr string `json:"addr,omitempty"`
-	Zone string `json:"zone,omitempty"`
+	// Fence of the owner that a release is meant for: once that owner has let go, the order is done and asks nobody else. 0: whoever
+	// owns the work when the order is agreed; such an order is not safe to repeat.
+	Fence uint64 `json:"fence,omitempty"`
+	Name  string `json:"name,omitempty"`
+	Addr  string `json:"addr,omitempty"`
+	Zone  string `json:"zone,omitempty"`
 }
 
 // Status of one keeper.
--- a/internal/agentdriver/plan.go
+++ b/internal/agentdriver/plan.go
@@ -23,7 +23,7 @@
 	// agreed is the plan and the operators' words on it, as the record has them.
 	agreed := func(k *coordserver.Client, ctx context.Context) (p failover.Published, o failover.Orders, err error) {
 		var picture coordserver.Picture
-		if err = k.Call(ctx, "/v1/record", nil, &picture); err != nil {
+		if err = k.Ask(ctx, "/v1/record", nil, &picture); err != nil {
 			return p, o, err
 		}
 		found := false
--- a/internal/agentdriver/words.go
+++ b/internal/agentdriver/words.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"dunereach/fleet/coordinator"
+	"dunereach/fleet/registry"
 	"dunereach/internal/coordserver"
 	"dunereach/internal/netaddr"
 	"dunereach/internal/operator"
@@ -17,6 +20,9 @@
 	"github.com/spf13/cobra"
 )
 
+// agreedWait is how long status waits for what a majority has agreed on: twice as long as coordinators take to choose a leader.
+const agreedWait = 4 * time.Second
+
 // Words is `dunereach fleet` and what follows it.
 func Words() *cobra.Command {
 	var addrs []string
@@ -55,11 +61,11 @@
 			}
 			defer cancel()
 			var p coordserver.Picture
-			if err := k.Call(ctx, "/v1/record", nil, &p); err != nil {
+			if err := k.Ask(ctx, "/v1/record", nil, &p); err != nil {
 				return err
 			}
 			if asJSON {
-				return printJSON(c.OutOrStdout(), p)
+				return printJSON(c.OutOrStdout(), named(p))
 			}
 			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			print(w, p)
@@ -97,9 +103,17 @@
 				return err
 			}
 			defer cancel()
-			all := k.Each(ctx, addrs)
+			var all []*coordinator.Status
 			var p coordserver.Picture
-			agreed := k.Call(ctx, "/v1/record", nil, &p)
+			var agreed error
+			var both sync.WaitGroup
+			both.Go(func() { all = k.Each(ctx, addrs) })
+			both.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, agreedWait)
+				defer cancel()
+				agreed = k.Ask(ctx, "/v1/record", nil, &p)
+			})
+			both.Wait()
 			out := c.OutOrStdout()
 			if asJSON {
 				v := map[string]any{"keepers": all, "agreed": agreed == nil}
@@ -137,7 +151,7 @@
 				return err
 			}
 			defer cancel()
-			if err := k.Call(ctx, "/v1/order", coordinator.Order{Kind: "release", Work: args[0]}, &coordinator.Posted{}); err != nil {
+			if err := release(ctx, k, args[0]); err != nil {
 				return fmt.Errorf("%s: %v", args[0], err)
 			}
 			_, err = fmt.Fprintln(c.OutOrStdout(), "asked")
@@ -146,6 +160,40 @@
 	return root
 }
 
+// release asks the present owner of a work to let go of it. The order names the owner's fence, so that it may be repeated until a
+// coordinator that leads has taken it: a repetition asks no later owner.
+func release(ctx context.Context, client *coordserver.Client, work string) error {
+	var picture coordserver.Picture
+	if err := client.Ask(ctx, "/v1/record", nil, &picture); err != nil {
+		return err
+	}
+	at := slices.IndexFunc(picture.Works, func(x registry.Work) bool { return x.Name == work })
+	if at < 0 || picture.Works[at].Owner == 0 {
+		return registry.ErrNoWork
+	}
+	order := coordinator.Order{Kind: "release", Work: work, Fence: picture.Works[at].Fence}
+	return client.Ask(ctx, "/v1/order", order, &coordinator.Posted{})
+}
+
+// namedPicture is a picture of the record for scripts, in which each work has its owner's name beside the session's number.
+type namedPicture struct {
+	coordserver.Picture
+	Works []namedWork `json:"works"`
+}
+
+type namedWork struct {
+	registry.Work
+	Owner string `json:"owner,omitempty"` // the router's name, none: free
+}
+
+func named(picture coordserver.Picture) namedPicture {
+	result := namedPicture{Picture: picture, Works: []namedWork{}}
+	for _, work := range picture.Works {
+		result.Works = append(result.Works, namedWork{work, picture.Owners[work.Name]})
+	}
+	return result
+}
+
 func printJSON(w io.Writer, v any) error {
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
--- a/internal/coordserver/client.go
+++ b/internal/coordserver/client.go
@@ -22,7 +22,8 @@
 	http *http.Client
 	mu   sync.Mutex
 	find *agent.Finder
-	many int
+
+	addrs []string
 
 	calls, bytes atomic.Int64
 }
@@ -60,7 +61,7 @@
 
 // NewClient of keepers at these addresses.
 func NewClient(addrs []string, from string) *Client {
-	c := &Client{many: len(addrs), find: agent.NewFinder(addrs, int(time.Now().UnixNano()&0xffff))}
+	c := &Client{addrs: addrs, find: agent.NewFinder(addrs, int(time.Now().UnixNano()&0xffff))}
 	dial := dialer(from)
 	c.http = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -90,7 +91,7 @@
 			return err
 		}
 	}
-	for range c.many + 2 {
+	for range len(c.addrs) + 2 {
 		at := c.target()
 		var leader string
 		if leader, err = c.once(ctx, at, path, body, out); err == nil {
@@ -148,8 +149,13 @@
 	return f.Leader, f.Err()
 }
 
-// Each keeper's own word on itself, nil where it does not answer.
+// statusWait is how long a coordinator has for its status, which takes no agreement.
+const statusWait = time.Second
+
+// Each keeper's own word on itself, nil where it does not answer within a second.
 func (c *Client) Each(ctx context.Context, addrs []string) []*coordinator.Status {
+	ctx, cancel := context.WithTimeout(ctx, statusWait)
+	defer cancel()
 	all := make([]*coordinator.Status, len(addrs))
 	var wait sync.WaitGroup
 	for n, a := range addrs {
--- /dev/null
+++ b/internal/seconds/seconds_test.go
@@ -0,0 +1,27 @@
+package seconds
+
+import "testing"
+
+func TestParse(t *testing.T) {
+	for text, want := range map[string]float64{"2": 2, "0.5": 0.5, "2s": 2, "500ms": 0.5, "1m30s": 90, "0": 0} {
+		if got, err := Parse(text); got != want || err != nil {
+			t.Errorf("%s: %v %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "two", "2 s", "-1", "-2s", "NaN", "Inf", "1e999"} {
+		if got, err := Parse(text); err == nil {
+			t.Errorf("%q is read as %v", text, got)
+		}
+	}
+}
+
+// TestFlag: what can't be read leaves the value as it was.
+func TestFlag(t *testing.T) {
+	f := Flag(4)
+	if err := f.Set("soon"); err == nil || f != 4 {
+		t.Errorf("%v after %v", f, err)
+	}
+	if err := f.Set("1500ms"); err != nil || f != 1.5 || f.String() != "1.5s" {
+		t.Errorf("%v %v", f.String(), err)
+	}
+}
