Lengths of time on the other command lines are durations or seconds

Not done: the operators' file (snapshot_s, record_s, seconds), whose schema would have to say both forms with their bounds.

--- a/cmd/dunedemo/main.go
+++ b/cmd/dunedemo/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"dunereach/internal/demo"
+	"dunereach/internal/seconds"
 
 	"github.com/spf13/cobra"
 )
@@ -26,7 +27,8 @@
 	self, _ := os.Executable()
 	f := root.Flags()
 	f.StringVar(&o.Router, "router", filepath.Join(filepath.Dir(self), "dunereach"), "the router's program")
-	f.Float64Var(&o.Seconds, "seconds", 10, "how long the clients ask")
+	o.Seconds = 10
+	f.Var((*seconds.Flag)(&o.Seconds), "seconds", "how long the clients ask: 30s, 1m, or a number of seconds")
 	f.IntVar(&o.Engines, "engines", 2, "model engines of four cores")
 	f.IntVar(&o.Planner, "planners", 6, "clients that ask for reports, one at a time each")
 	f.IntVar(&o.Flood, "clerks", 120, "clients that look up without end")
--- a/cmd/duneshow/main.go
+++ b/cmd/duneshow/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"dunereach/internal/measure"
+	"dunereach/internal/seconds"
 
 	"github.com/spf13/cobra"
 )
@@ -22,11 +23,14 @@
 	root.AddCommand(&cobra.Command{Use: "fleet-seeds FROM COUNT SECONDS", Short: "Play drawn faults of a fleet on virtual time and print figures as JSON",
 		Args: cobra.ExactArgs(3), RunE: func(_ *cobra.Command, args []string) error {
 			var from, count uint64
-			var seconds float64
-			if _, err := fmt.Sscan(args[0]+" "+args[1]+" "+args[2], &from, &count, &seconds); err != nil {
+			if _, err := fmt.Sscan(args[0]+" "+args[1], &from, &count); err != nil {
 				return err
 			}
-			out, err := measure.SaySeeds(from, count, seconds)
+			length, err := seconds.Parse(args[2])
+			if err != nil {
+				return err
+			}
+			out, err := measure.SaySeeds(from, count, length)
 			if err == nil {
 				_, err = fmt.Printf("%s\n", out)
 			}
@@ -35,11 +39,14 @@
 	root.AddCommand(&cobra.Command{Use: "fleet-explore FROM COUNT SECONDS", Short: "Play drawn faults of a fleet on virtual time, on all cores; fails where one has something wrong or they took too long",
 		Args: cobra.ExactArgs(3), RunE: func(_ *cobra.Command, args []string) error {
 			var from, count uint64
-			var seconds float64
-			if _, err := fmt.Sscan(args[0]+" "+args[1]+" "+args[2], &from, &count, &seconds); err != nil {
+			if _, err := fmt.Sscan(args[0]+" "+args[1], &from, &count); err != nil {
 				return err
 			}
-			rows, err := measure.Explore(from, count, seconds)
+			length, err := seconds.Parse(args[2])
+			if err != nil {
+				return err
+			}
+			rows, err := measure.Explore(from, count, length)
 			if err == nil && !measure.Print(os.Stdout, rows) {
 				err = errShort
 			}
@@ -49,11 +56,11 @@
 		RunE: func(_ *cobra.Command, args []string) error { return measure.WriteState(args[0]) }})
 	root.AddCommand(&cobra.Command{Use: "state-late with|without SECONDS", Short: "Print how late an owner's timers are at p99 (a part of state)", Args: cobra.ExactArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
-			var seconds float64
-			if _, err := fmt.Sscan(args[1], &seconds); err != nil {
+			length, err := seconds.Parse(args[1])
+			if err != nil {
 				return err
 			}
-			p99, err := measure.Late(args[0] == "with", seconds)
+			p99, err := measure.Late(args[0] == "with", length)
 			if err == nil {
 				_, err = fmt.Println(p99)
 			}
