The operators' file takes durations for lengths of time

Change: snapshot_s, record_s and seconds are a number of seconds as before or a string with a duration. The schema has both forms and the number's bounds; a duration's bounds are checked beside it (schema/lengths.go), with the place and the cause in one line.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 
 	"dunereach/fairshare"
 	"dunereach/internal/netaddr"
+	"dunereach/internal/seconds"
 )
 
 // Variable names the file where no flag does.
@@ -67,12 +68,12 @@
 
 // State is what a router remembers over a restart. All but the folder may be absent.
 type State struct {
-	Folder   string  `json:"folder" jsonschema:"minLength=1,description=Where the files lie; routers of different names may share it."`
-	Snapshot float64 `json:"snapshot_s,omitempty" jsonschema:"minimum=0,maximum=3600,description=Seconds between two snapshots of all that is known. Absent: 30."`
-	Record   float64 `json:"record_s,omitempty" jsonschema:"minimum=0,maximum=3600,description=Seconds between two records of what changes fast: as much may be lost by a kill. Absent: 1."`
-	MB       float64 `json:"most_mb,omitempty" jsonschema:"minimum=0,maximum=1024,description=All files together. Absent: 32."`
-	CPU      float64 `json:"cpu,omitempty" jsonschema:"minimum=0,maximum=1,description=Part of a core that writing may take. Absent: 0.01."`
-	Bytes    float64 `json:"bytes_s,omitempty" jsonschema:"minimum=0,description=Bytes a second that writing may take. Absent: 1048576."`
+	Folder   string         `json:"folder" jsonschema:"minLength=1,description=Where the files lie; routers of different names may share it."`
+	Snapshot seconds.Length `json:"snapshot_s,omitempty" jsonschema:"description=Time between two snapshots of all that is known: 30s or a number of seconds. Absent: 30."`
+	Record   seconds.Length `json:"record_s,omitempty" jsonschema:"description=Time between two records of what changes fast: as much may be lost by a kill. 1s or a number of seconds. Absent: 1."`
+	MB       float64        `json:"most_mb,omitempty" jsonschema:"minimum=0,maximum=1024,description=All files together. Absent: 32."`
+	CPU      float64        `json:"cpu,omitempty" jsonschema:"minimum=0,maximum=1,description=Part of a core that writing may take. Absent: 0.01."`
+	Bytes    float64        `json:"bytes_s,omitempty" jsonschema:"minimum=0,description=Bytes a second that writing may take. Absent: 1048576."`
 }
 
 // Check tells what the schema can't.
@@ -95,10 +96,10 @@
 
 // Expect is what becomes of a new configuration that fails its expectations.
 type Expect struct {
-	Folder  string  `json:"folder" jsonschema:"minLength=1,description=Where the expectations lie."`
-	Refuse  bool    `json:"refuse" jsonschema:"description=Whether SIGHUP takes no configuration that fails them."`
-	Seconds float64 `json:"seconds,omitempty" jsonschema:"minimum=0,maximum=600,description=How long checking may take. Absent: 60. What is not checked by then is not taken."`
-	Memory  float64 `json:"memory_mb,omitempty" jsonschema:"minimum=0,description=What the checking program aims to keep to. Absent: 256."`
+	Folder  string         `json:"folder" jsonschema:"minLength=1,description=Where the expectations lie."`
+	Refuse  bool           `json:"refuse" jsonschema:"description=Whether SIGHUP takes no configuration that fails them."`
+	Seconds seconds.Length `json:"seconds,omitempty" jsonschema:"description=How long checking may take: 1m or a number of seconds. Absent: 60. What is not checked by then is not taken."`
+	Memory  float64        `json:"memory_mb,omitempty" jsonschema:"minimum=0,description=What the checking program aims to keep to. Absent: 256."`
 }
 
 // Load reads a file. No path: no file, all subsystems off. The text is checked against the schema by what is given, which
--- a/internal/operator/schema/schema.go
+++ b/internal/operator/schema/schema.go
@@ -25,7 +25,9 @@
 )
 
 // Operator is the schema of the operators' file.
-func Operator() ([]byte, error) { return of(&operator.File{}, "dunereach: the operators' file") }
+func Operator() ([]byte, error) {
+	return of(&operator.File{}, "dunereach: the operators' file", boundLengths)
+}
 
 // Expectations is the schema of a file of routing expectations.
 func Expectations() ([]byte, error) { return of(&expect.File{}, "dunereach: routing expectations") }
@@ -35,10 +37,13 @@
 	return of(&scenario.File{}, "dunereach: a script of faults for a fleet")
 }
 
-func of(file any, title string) ([]byte, error) {
-	r := reflector.Reflector{Anonymous: true, ExpandedStruct: true}
+func of(file any, title string, adjust ...func(*reflector.Schema)) ([]byte, error) {
+	r := reflector.Reflector{Anonymous: true, ExpandedStruct: true, Mapper: mapped}
 	s := r.Reflect(file)
 	s.Title = title
+	for _, f := range adjust {
+		f(s)
+	}
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
 	e.SetIndent("", "  ")
@@ -48,7 +53,12 @@
 }
 
 // Check reads a text of the operators' file. An error is one line that names the place and the cause.
-func Check(text []byte) error { return check(deploy.OperatorSchema, text) }
+func Check(text []byte) error {
+	if err := check(deploy.OperatorSchema, text); err != nil {
+		return err
+	}
+	return checkLengths(text)
+}
 
 // CheckExpectations reads a text of a file of expectations, likewise.
 func CheckExpectations(text []byte) error { return check(deploy.ExpectationSchema, text) }
--- a/internal/seconds/seconds.go
+++ b/internal/seconds/seconds.go
@@ -2,6 +2,7 @@
 package seconds
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
@@ -41,3 +42,24 @@
 
 // Type is the name of the value in help texts.
 func (f *Flag) Type() string { return "duration" }
+
+// Length is a length of time in a JSON text: a number of seconds, or a string with a duration.
+type Length float64
+
+// UnmarshalJSON reads either form.
+func (l *Length) UnmarshalJSON(text []byte) error {
+	var plain float64
+	if err := json.Unmarshal(text, &plain); err == nil {
+		*l = Length(plain)
+		return nil
+	}
+	var duration string
+	if err := json.Unmarshal(text, &duration); err != nil {
+		return fmt.Errorf("%s is no length of time: a number of seconds or a string such as \"2s\" is wanted", text)
+	}
+	value, err := Parse(duration)
+	if err == nil {
+		*l = Length(value)
+	}
+	return err
+}
--- a/internal/seconds/seconds_test.go
+++ b/internal/seconds/seconds_test.go
@@ -1,6 +1,9 @@
 package seconds
 
-import "testing"
+import (
+	"encoding/json"
+	"testing"
+)
 
 func TestParse(t *testing.T) {
 	for text, want := range map[string]float64{"2": 2, "0.5": 0.5, "2s": 2, "500ms": 0.5, "1m30s": 90, "0": 0} {
@@ -25,3 +28,19 @@
 		t.Errorf("%v %v", f.String(), err)
 	}
 }
+
+// TestLength: both forms in JSON.
+func TestLength(t *testing.T) {
+	for text, want := range map[string]Length{`2`: 2, `"2s"`: 2, `"0.5"`: 0.5, `"1m"`: 60} {
+		var l Length
+		if err := json.Unmarshal([]byte(text), &l); err != nil || l != want {
+			t.Errorf("%s: %v %v", text, l, err)
+		}
+	}
+	for _, text := range []string{`"soon"`, `true`, `[2]`, `"-1s"`} {
+		var l Length
+		if err := json.Unmarshal([]byte(text), &l); err == nil {
+			t.Errorf("%s is read as %v", text, l)
+		}
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -55,8 +55,8 @@
 	k.set.MB, k.set.CPU, k.set.Bytes = cmp.Or(set.MB, standardMB), cmp.Or(set.CPU, standardCPU), cmp.Or(set.Bytes, standardBytes)
 	k.runner = jobrunner.New(bg.Terms{CPU: k.set.CPU, Bytes: k.set.Bytes, Late: lateness}, k.failed)
 	const folder = "folder"
-	k.runner.Add(bg.Job{Name: "snapshot", Level: 1, Resource: folder, Every: k.set.Snapshot, Deadline: k.set.Snapshot, Last: true}, k.snapshot)
-	k.runner.Add(bg.Job{Name: "journal", Level: 2, Resource: folder, Every: k.set.Record, Deadline: 2 * k.set.Record}, k.record)
+	k.runner.Add(bg.Job{Name: "snapshot", Level: 1, Resource: folder, Every: float64(k.set.Snapshot), Deadline: float64(k.set.Snapshot), Last: true}, k.snapshot)
+	k.runner.Add(bg.Job{Name: "journal", Level: 2, Resource: folder, Every: float64(k.set.Record), Deadline: 2 * float64(k.set.Record)}, k.record)
 	return k
 }
 
@@ -120,11 +120,11 @@
 	}
 	k.lastAt = now
 	if now >= k.slowAt {
-		k.slowAt = now + k.set.Snapshot/2 // what is written is half as old again at the most
+		k.slowAt = now + float64(k.set.Snapshot)/2 // what is written is half as old again at the most
 		k.know(m)
 	}
 	if now >= k.quickAt {
-		k.quickAt = now + k.set.Record
+		k.quickAt = now + float64(k.set.Record)
 		k.sketch(m)
 	}
 }
