--- a/internal/faultrig/rig_test.go
+++ b/internal/faultrig/rig_test.go
@@ -183,6 +183,7 @@
 			t.Errorf("%s --json: %v\n%s", c.word, err, out)
 		}
 	}
+	stoppedKeepers(t, r, words)
 	if out, err := words("dunereach", "release", "warmth/none"); err == nil || !strings.Contains(out, "no such work") {
 		t.Errorf("a work that is none: %s", out)
 	}
@@ -199,6 +200,43 @@
 	}
 }
 
+// stoppedKeepers stops one coordinator after the other, also the one that leads. What people ask is answered all the same, well before
+// the five seconds for which the stopped one would be waited for; owners go by name in JSON.
+func stoppedKeepers(t *testing.T, r *Rig, words func(program string, args ...string) (string, error)) {
+	t.Helper()
+	leader := r.Leader()
+	for _, k := range []string{"k1", "k2", "k3"} {
+		if err := r.Do("stop", k); err != nil {
+			t.Fatal(err)
+		}
+		if k == leader { // another has to lead first: how long that takes is not the command's
+			if err := r.until(20, func() bool { other := r.Leader(); return other != "" && other != k }); err != nil {
+				t.Fatal("nobody else leads")
+			}
+		}
+		for _, word := range []string{"owners", "sessions", "status"} {
+			began := time.Now()
+			out, err := words("dunefleet", word, "--json")
+			if took := time.Since(began); err != nil || took > 4*time.Second {
+				t.Errorf("%s with %s stopped: %v after %v\n%s", word, k, err, took, out)
+			}
+			if word == "owners" && !strings.Contains(out, `"owner": "n`) {
+				t.Errorf("owners have no names:\n%s", out)
+			}
+		}
+		if err := r.Do("continue", k); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Await("owned"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	work := r.audit.first()
+	if out, err := words("dunefleet", "release", work); err != nil || !strings.Contains(out, "asked") {
+		t.Errorf("release %s: %v\n%s", work, err, out)
+	}
+}
+
 // TestTrials: an engine hangs under load. With the fleet fewer commands are spent on trying it, and it is used again by all soon
 // after it answers.
 func TestTrials(t *testing.T) {
