--- /dev/null
+++ b/cmd/dunereach/names_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"dunereach/internal/fake"
+)
+
+// TestOddNames: a class's name goes on to servers unchanged whatever its bytes are, but for those that would end the field, the word or
+// the line: requests of such a class fail, are never sent on, and do no harm to others.
+func TestOddNames(t *testing.T) {
+	for name, usable := range map[string]bool{
+		"look.up:v2_A": true, "größe": true, `a/b;c"d\e`: true, "a=b": true, "-": true, "%20": true,
+		"a b": false, "a,ms=1": false, "a\r\nabort": false, "a\tb": false, "a\u00a0b": false, "a\x00b": false,
+	} {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			w := plan(t, 1, 1024)
+			quoted, _ := json.Marshal(name)
+			text := strings.Replace(w.text, `"Name":"lookup"`, `"Name":`+string(quoted), 1)
+			if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			w.start()
+			c := fake.NewClient(t, w.addr)
+			if usable {
+				if s := w.serve(c, name); !strings.HasPrefix(s.Words[2], "kind="+name+",ms=") {
+					t.Errorf("the server was sent %q", s.Words)
+				}
+			} else {
+				seq := w.call(c, name, 30000, "SELECT 1")
+				w.expect(c, fmt.Sprintf(`2/%d call{ 2={ 1=[ ] } }`, seq))
+				w.logged("class name can't be told to servers")
+			}
+			w.serve(c, "order")
+		})
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -26,6 +26,8 @@
 	asked, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer forget()
 	context.AfterFunc(asked, func() { signal.Reset(os.Interrupt) })
+	endings := make(chan os.Signal, 1) // the same signals once more, for handOver
+	signal.Notify(endings, syscall.SIGTERM, os.Interrupt)
 	signal.Ignore(syscall.SIGPIPE) // one who reads the log no more must not end the router
 	cfg, err := first(asked, load)
 	if err != nil || asked.Err() != nil { // asked to end before it serves: nothing has been taken
@@ -33,7 +35,7 @@
 	}
 	if cfg.Operator.Fleet != nil && with.Fleet == nil || cfg.Operator.State != nil && with.State == nil {
 		signal.Ignore(syscall.SIGHUP) // kept over exec; the files are read after it
-		return become(fleetProgram, os.Args[1:])
+		return handOver(forget, endings, func() error { return become(fleetProgram, os.Args[1:]) })
 	}
 	if n := int(math.Ceil(cfg.Limits.Cores)); n > 0 {
 		runtime.GOMAXPROCS(n)
@@ -74,6 +76,20 @@
 	return err
 }
 
+// handOver calls what puts another program in this one's place. A signal that asks for the end is never lost with the handlers, which the
+// new program does not have: one that came before ends this one here, and one that comes later ends the process where it stands, as
+// nothing has been taken yet.
+func handOver(forget func(), endings chan os.Signal, become func() error) error {
+	forget()             // who listens beside endings, so that the next line gives the signals up
+	signal.Stop(endings) // and waits until what has come is delivered
+	select {
+	case <-endings:
+		return nil
+	default:
+		return become()
+	}
+}
+
 // first reads the files for the start. To be asked to end comes before that: what is read from may never come.
 func first(asked context.Context, load func() (config.Config, error)) (cfg config.Config, err error) {
 	done := make(chan struct{})
--- a/internal/lineproto/lines.go
+++ b/internal/lineproto/lines.go
@@ -6,6 +6,9 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 )
 
 const (
@@ -164,6 +167,12 @@
 	return append(append(append(b, "\r\n"...), statement...), "\r\n"...)
 }
 
+// Usable tells whether a text can stand as the value of a field: it would end the field, the word or the line otherwise.
+func Usable(value string) bool {
+	ends := func(r rune) bool { return r == ',' || r == utf8.RuneError || unicode.IsSpace(r) || unicode.IsControl(r) }
+	return value != "" && strings.IndexFunc(value, ends) < 0
+}
+
 func Abort(b, id []byte) []byte { return append(append(append(b, "abort "...), id...), "\r\n"...) }
 
 func Done(b, id []byte) []byte { return append(append(append(b, "done "...), id...), "\r\n"...) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"dunereach/fairshare"
 	"dunereach/internal/backends"
 	"dunereach/internal/frontend"
+	"dunereach/internal/lineproto"
 	"dunereach/internal/settings"
 	"dunereach/internal/statement"
 	"dunereach/internal/transport"
@@ -72,6 +73,10 @@
 	// What needs probes, word from other routers or asking for the list is not there: the list comes unasked.
 	r.set.Brain.Peers, r.set.Brain.ProbeLoads, r.set.Brain.Ask = false, false, false
 	for k, name := range set.Profiles {
+		if !lineproto.Usable(name) {
+			log.Error("class name can't be told to servers, its requests fail", zap.String("name", name))
+			continue
+		}
 		r.profs[name] = k
 	}
 	for k, name := range set.Tenants {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -429,6 +429,7 @@
 	const limit = 2 << 20
 	c := frontend.NewSession(s, &s.scratch)
 	line := s.net.New(c, limit)
+	line.Patience(max(transport.UsualPatience, time.Duration(s.cfg.Settings.Longest*1e9)))
 	c.Line = line
 	s.arrived++
 	c.Serial = s.arrived
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -101,15 +101,16 @@
 
 // Conn is one connection.
 type Conn struct {
-	net   *Net
-	sink  Sink
-	limit int
-	kick  chan struct{}
-	ctx   context.Context
-	quit  context.CancelCauseFunc
-	mild  bool        // ends in a lingering close
-	whole bool        // the other side never reads on once it has said its last
-	shut  atomic.Bool // this side has said its last: what still comes is nobody's
+	net      *Net
+	sink     Sink
+	limit    int
+	kick     chan struct{}
+	ctx      context.Context
+	quit     context.CancelCauseFunc
+	patience time.Duration // for a write
+	mild     bool          // ends in a lingering close
+	whole    bool          // the other side never reads on once it has said its last
+	shut     atomic.Bool   // this side has said its last: what still comes is nobody's
 
 	mu      sync.Mutex
 	out     []byte
@@ -119,6 +120,7 @@
 	written int64  // of those, bytes that the system has
 	finish  bool
 	deaf    bool // the other side has closed, and reads nothing: no write is begun
+	dead    bool // a write has failed: nothing leaves any more, and begun is what the system had by then
 }
 
 // hole is bytes that were withdrawn, by where they began.
@@ -131,11 +133,18 @@
 
 // New is a connection that Start or Dial brings to life. More than limit bytes that don't go out end it.
 func (n *Net) New(sink Sink, limit int) *Conn {
-	c := &Conn{net: n, sink: sink, limit: limit, kick: make(chan struct{}, 1)}
+	c := &Conn{net: n, sink: sink, limit: limit, kick: make(chan struct{}, 1), patience: UsualPatience}
 	c.ctx, c.quit = context.WithCancelCause(n.ctx)
 	return c
 }
 
+// UsualPatience is how long a write may take. One that takes nothing for as long is as good as gone. A server that is stuck keeps a
+// descriptor for that time.
+const UsualPatience = 20 * time.Second
+
+// Patience sets, before the connection is there, how long a write may take: a client may read as late as its deadline allows.
+func (c *Conn) Patience(d time.Duration) { c.patience = d }
+
 // Whole says, before the connection is there, that the other side's end is the whole connection's: no write is begun after it.
 func (c *Conn) Whole() { c.whole = true }
 
@@ -229,9 +238,6 @@
 
 // write sends what was appended, with no lock held while it does.
 func (c *Conn) write(nc net.Conn) {
-	// One that takes nothing for as long is as good as gone, also where clients wait for longer: its answer has failed then,
-	// and it can tell. An engine that is stuck keeps a descriptor for that time.
-	const patience = 20 * time.Second
 	const spared = 16 << 10 // bytes: a burst must not hold memory for the life of its connection
 	var spare []byte
 	for {
@@ -262,10 +268,11 @@
 				}
 				break
 			}
-			nc.SetWriteDeadline(time.Now().Add(patience))
-			_, err := nc.Write(out)
+			nc.SetWriteDeadline(time.Now().Add(c.patience))
+			taken, err := nc.Write(out)
 			c.net.used.Add(-int64(len(out)))
 			if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+				c.failed(begun - int64(len(out)-taken))
 				nc.Close() // the reader ends by it too
 				return
 			} else if err != nil {
@@ -282,6 +289,13 @@
 	}
 }
 
+// failed notes that a write met the connection's end: what the system had not taken has not left, and nothing leaves any more.
+func (c *Conn) failed(left int64) {
+	c.mu.Lock()
+	c.begun, c.dead = left, true
+	c.mu.Unlock()
+}
+
 // leave ends a connection whose last has gone out. Closed over bytes that nobody read, it would be reset, and what is
 // on its way with it; so one that lingers says that it has ended and reads on for a while, for nobody. Harm: a
 // descriptor is held for longer, hence the bound on how many linger.
@@ -348,6 +362,9 @@
 	if from < c.begun {
 		return false
 	}
+	if c.dead { // nothing of it leaves any more
+		return true
+	}
 	at := int(from - c.begun)
 	for _, h := range c.holes {
 		if h.from < from {
