--- a/internal/lineproto/lines.go
+++ b/internal/lineproto/lines.go
@@ -169,7 +169,9 @@
 
 // Usable tells whether a text can stand as the value of a field: it would end the field, the word or the line otherwise.
 func Usable(value string) bool {
-	ends := func(r rune) bool { return r == ',' || r == utf8.RuneError || unicode.IsSpace(r) || unicode.IsControl(r) }
+	ends := func(r rune) bool {
+		return r == ',' || r == utf8.RuneError || unicode.IsSpace(r) || unicode.IsControl(r)
+	}
 	return value != "" && strings.IndexFunc(value, ends) < 0
 }
 
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -2,7 +2,14 @@
 
 import (
 	"math"
+	"net"
 	"syscall"
+	"time"
+
+	"dunereach/internal/frontend"
+	"dunereach/internal/transport"
+
+	"go.uber.org/zap"
 )
 
 // split is how the descriptors of the process are divided. What clients and servers take together leaves the reserve free.
@@ -50,3 +57,44 @@
 	}
 	return most
 }
+
+// arrive takes a client's connection in, or turns it away where there is no room for it.
+func (s *service) arrive(nc net.Conn, closing bool) {
+	most := s.split()
+	full := len(s.sessions) >= most.clients && !s.letGo()
+	if full {
+		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
+	}
+	if len(s.sessions) >= most.clients+most.turnedOff { // none is left even to turn it away by
+		nc.Close()
+		return
+	}
+	// 32 open calls have 1.5 MB of results at most.
+	const limit = 2 << 20
+	c := frontend.NewSession(s, &s.scratch)
+	line := s.net.New(c, limit)
+	line.Patience(max(transport.UsualPatience, time.Duration(s.cfg.Settings.Longest*1e9)))
+	c.Line = line
+	s.arrived++
+	c.Serial = s.arrived
+	s.sessions[c] = struct{}{}
+	line.Start(nc)
+	if full || closing {
+		c.TurnAway()
+	}
+}
+
+// letGo closes the connection that can best be spared.
+func (s *service) letGo() bool {
+	var spare *frontend.Session
+	best := -1
+	for c := range s.sessions {
+		if rank, ok := c.Spare(); ok && (rank > best || rank == best && c.Serial < spare.Serial) {
+			spare, best = c, rank
+		}
+	}
+	if spare != nil {
+		spare.Last()
+	}
+	return spare != nil
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -415,46 +415,6 @@
 	}
 }
 
-func (s *service) arrive(nc net.Conn, closing bool) {
-	most := s.split()
-	full := len(s.sessions) >= most.clients && !s.letGo()
-	if full {
-		s.log.Warn("too many clients", zap.Int("connections", len(s.sessions)))
-	}
-	if len(s.sessions) >= most.clients+most.turnedOff { // none is left even to turn it away by
-		nc.Close()
-		return
-	}
-	// 32 open calls have 1.5 MB of results at most.
-	const limit = 2 << 20
-	c := frontend.NewSession(s, &s.scratch)
-	line := s.net.New(c, limit)
-	line.Patience(max(transport.UsualPatience, time.Duration(s.cfg.Settings.Longest*1e9)))
-	c.Line = line
-	s.arrived++
-	c.Serial = s.arrived
-	s.sessions[c] = struct{}{}
-	line.Start(nc)
-	if full || closing {
-		c.TurnAway()
-	}
-}
-
-// letGo closes the connection that can best be spared.
-func (s *service) letGo() bool {
-	var spare *frontend.Session
-	best := -1
-	for c := range s.sessions {
-		if rank, ok := c.Spare(); ok && (rank > best || rank == best && c.Serial < spare.Serial) {
-			spare, best = c, rank
-		}
-	}
-	if spare != nil {
-		spare.Last()
-	}
-	return spare != nil
-}
-
 const auditEvery = 30 // seconds: some hundred promises of a busy team
 
 // tidy closes connections to engines that were idle for long, and says when the name server is missing.
