--- a/internal/scale/control_faults.go
+++ b/internal/scale/control_faults.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	var rows []measure.Row
-	for _, play := range []func() ([]measure.Row, error){f.loseRack, f.loseZone, f.cutRegion, f.rollingRestart} {
+	for _, play := range []func() ([]measure.Row, error){f.loseMost, f.loseRack, f.loseZone, f.cutRegion, f.rollingRestart} {
 		more, err := play()
 		if err != nil {
 			return nil, err
@@ -44,6 +44,23 @@
 	return append(rows, f.bounds("faults")...), nil
 }
 
+// loseMost takes the leader, then all coordinators, then all routers away; controlReturn has the slopes of these.
+func (f *controlFleet) loseMost() (rows []measure.Row, err error) {
+	plays := []func() (fault, error){
+		func() (fault, error) { return f.loseLeader("leader lost") },
+		func() (fault, error) { return f.loseCoordinators("all coordinators restart") },
+		func() (fault, error) { return f.restartRouters("all routers restart at once", numbers(1, f.Live())) },
+	}
+	for _, play := range plays {
+		x, err := play()
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, x.rows()...)
+	}
+	return rows, nil
+}
+
 // loseRack takes a drawn share of the routers and one coordinator away, and brings them back.
 func (f *controlFleet) loseRack() ([]measure.Row, error) {
 	drawn := rand.New(rand.NewPCG(1, 3))
--- a/internal/scale/control_return.go
+++ b/internal/scale/control_return.go
@@ -15,8 +15,7 @@
 
 // fault is one event, and how control came back from it.
 type fault struct {
-	name string
-	// back is whether what was lost has come back with it.
+	name     string
 	recovery hollow.Recovery
 	peak     hollow.Peak
 }
@@ -32,11 +31,12 @@
 		return fault{}, fmt.Errorf("%s: %w", name, err)
 	}
 	recovery, err := f.recover(began, faultTasks)
-	progress("%s: whole after %.1f s", name, recovery.Settled)
 	if err != nil {
 		return fault{}, fmt.Errorf("%s: %w", name, err)
 	}
-	return fault{name: name, recovery: recovery, peak: f.takePeak()}, nil
+	x := fault{name: name, recovery: recovery, peak: f.takePeak()}
+	progress("%s: sessions after %.1f s, whole after %.1f s, %.2f core and %.1f MB/s at most", name, recovery.Confirmed, recovery.Settled, x.peak.Core, x.peak.Bytes/1e6)
+	return x, nil
 }
 
 // rows of one fault.
