--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -164,6 +164,8 @@
 	routerRequests, routerBytes     float64            // each, on connections, with headers
 	requestsByPath, bodyBytesByPath map[string]float64 // each router
 	shares                          float64            // of routers by cold databases that may use a granted part
+	grants, relinquished, late      float64            // a second, of all routers: dealt out, laid down, and come after their life
+	load                            float64            // of the machine, all processes that want a core, over the last minute
 }
 
 // measure what a fleet of so many routers uses while time passes.
@@ -201,9 +203,23 @@
 		w.bodyBytesByPath[path] = float64(traffic.Bytes-before.Bytes) / took / n
 	}
 	w.shares = float64(report1.Shares) / n
+	w.grants = float64(report1.Grants-report0.Grants) / took
+	w.relinquished = float64(report1.Relinquished-report0.Relinquished) / took
+	w.late = float64(report1.Late-report0.Late) / took
+	w.load = machineLoad()
 	return w, nil
 }
 
+// machineLoad is the mean number of processes that wanted a core over the last minute, NaN where the system does not tell.
+func machineLoad() (load float64) {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return math.NaN()
+	}
+	fmt.Sscan(string(text), &load)
+	return load
+}
+
 // coordinators: the busiest one leads, the others are told by their mean.
 func (w *window) coordinators(before, after []hollow.Usage, took float64) {
 	busiest, most := 0, math.Inf(-1)
--- a/internal/scale/control_cold.go
+++ b/internal/scale/control_cold.go
@@ -77,5 +77,9 @@
 	fit("router, MB", ControlMemoryMB, func(w window) float64 { return w.routerMB })
 	fit("router, bytes a second", ControlBytes, func(w window) float64 { return w.routerBytes })
 	fit("router, granted parts", none, func(w window) float64 { return w.shares })
+	fit("grants a second", none, func(w window) float64 { return w.grants })
+	fit("parts laid down a second", none, func(w window) float64 { return w.relinquished })
+	fit("grants that came late a second", none, func(w window) float64 { return w.late })
+	fit("load of the machine", none, func(w window) float64 { return w.load })
 	return rows
 }
