Tasks of a large fleet wait until sessions can own them; cold databases on virtual time

0.3 s were not enough: a session that asked anew can own something only once it has heard an answer, so on virtual time one router still owned all of 8 tasks (5.1 of 8 parts granted, answers of 8,192 letters).

--- a/fleet/coordinator/keeping_test.go
+++ b/fleet/coordinator/keeping_test.go
@@ -292,8 +292,9 @@
 	c.request++
 	c.k.Beat(c.now, c.request, &c.beats[7]) // the first to say so
 	c.run(0.1)
-	c.heartbeats()
-	c.heartbeats()
+	for range 4 { // longer than tasks wait for all that want them
+		c.heartbeats()
+	}
 	most := 0
 	for _, s := range c.k.Record().Sessions() {
 		most = max(most, len(c.k.Record().Owned(s.ID)))
--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -24,9 +24,10 @@
 
 const (
 	keepWant = 3.0 // seconds that a want counts without being said again
-	// gatherWants is how long a task of a large fleet is wanted before it gets an owner, in seconds: else the router that says so
-	// first owns all tasks that come at once, and all the others' letters are for that one.
-	gatherWants = 0.3
+	// gatherWants is how long a task of a large fleet is wanted before it gets an owner, in seconds: half as much again as a
+	// heartbeat is held, since a session can own something only when it has heard the answer to an earlier one. Else the router
+	// whose heartbeat happens to come round owns all tasks that come at once, and all the others' letters are for that one.
+	gatherWants = 1.5
 )
 
 // assignSoon is assign, in a large fleet by the next tick.
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -33,6 +33,7 @@
 	{"state", "Size of the registry's snapshot by sessions and tasks", controlState},
 	{"idle", "What sessions cost while nothing is cold, with and without reports on zones", controlIdle},
 	{"cold", "What cold databases cost", controlCold},
+	{"virtual", "Cold databases on virtual time, with the same packages", controlVirtual},
 	{"return", "How long sessions take to be open again", controlReturn},
 	{"faults", "A rack, a zone, a region's links, a rolling restart", controlFaults},
 }
