--- a/internal/scale/datapath_module.go
+++ b/internal/scale/datapath_module.go
@@ -107,6 +107,7 @@
 	pool     *backends.Pool
 	decider  *decider
 	revision uint32
+	alone    bool // the follower alone takes lists
 }
 
 func newListTaker(databases int) (*listTaker, error) {
@@ -130,6 +131,9 @@
 	if _, err := l.follower.Start(known); err != nil {
 		return err
 	}
+	if l.alone {
+		return nil
+	}
 	l.pool.Members(l.follower.List(), l.follower.Addr)
 	l.decider.module.Members(l.decider.now, admission.Full, l.follower.List())
 	return nil
@@ -158,9 +162,11 @@
 	}
 	var rows []measure.Row
 	for _, change := range []struct {
-		name string
-		of   func(databases int) int
-	}{{"one", func(int) int { return 1 }}, {"a tenth", func(n int) int { return n / 10 }}, {"half", func(n int) int { return n / 2 }}} {
+		name  string
+		of    func(databases int) int
+		alone bool
+	}{{"one", func(int) int { return 1 }, false}, {"a tenth", func(n int) int { return n / 10 }, false},
+		{"half", func(n int) int { return n / 2 }, false}, {"one, the list's follower alone,", func(int) int { return 1 }, true}} {
 		var pieces []piece
 		var failed error
 		for _, databases := range sizes {
@@ -168,6 +174,7 @@
 			if err != nil {
 				return nil, err
 			}
+			taker.alone = change.alone
 			pieces = append(pieces, piece{1, func() {
 				if err := taker.take(databases, change.of(databases)); err != nil {
 					failed = err
--- a/internal/scale/datapath_sockets.go
+++ b/internal/scale/datapath_sockets.go
@@ -228,21 +228,27 @@
 		pools, rates, window = []int{8, 64}, []int{0, 300, 600, 900}, 500*time.Millisecond
 	}
 	var rows []measure.Row
+	var costs []float64
 	for _, pool := range pools {
-		some, err := requestCostOver(pool, rates, window)
+		some, perSecond, err := requestCostOver(pool, rates, window)
 		if err != nil {
 			return rows, fmt.Errorf("requests over %d databases: %w", pool, err)
 		}
-		rows = append(rows, some...)
+		rows, costs = append(rows, some...), append(costs, perSecond.Slope*1e6)
+	}
+	if len(pools) < 3 {
+		return rows, nil
 	}
-	return rows, nil
+	some, _, err := slopeRows("us of processor time a request, by databases", pools, costs)
+	return append(rows, some...), err
 }
 
-func requestCostOver(pool int, rates []int, window time.Duration) ([]measure.Row, error) {
+// requestCostOver measures one pool at each rate and fits processor time over the requests that were completed in a second.
+func requestCostOver(pool int, rates []int, window time.Duration) ([]measure.Row, Fit, error) {
 	const clientCount, atDatabase, warmUp = 64, 20 * time.Millisecond, 500 * time.Millisecond
 	r, err := startRouter(routerOptions{databases: pool, descriptors: routerDescriptors, sharers: max(pool*TargetRouters/TargetDatabases, 1)})
 	if err != nil {
-		return nil, err
+		return nil, Fit{}, err
 	}
 	defer r.stop()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -250,7 +256,7 @@
 	go r.answerAfter(ctx, atDatabase)
 	clients, err := r.openClients(clientCount)
 	if err != nil {
-		return nil, err
+		return nil, Fit{}, err
 	}
 	paced(clients, statementsPerRouter, warmUp)
 	var points []Point
@@ -259,19 +265,19 @@
 	for _, rate := range rates {
 		before, err := r.used()
 		if err != nil {
-			return nil, err
+			return nil, Fit{}, err
 		}
 		began := time.Now()
 		done := paced(clients, float64(rate), window)
 		took := time.Since(began).Seconds()
 		after, err := r.used()
 		if err != nil {
-			return nil, err
+			return nil, Fit{}, err
 		}
 		if rate > 0 {
 			least = min(least, float64(done)/(float64(rate)*window.Seconds()))
 			if done == 0 {
-				return nil, errServed
+				return nil, Fit{}, errServed
 			}
 		}
 		core := (after.Processor - before.Processor).Seconds() / took
@@ -280,7 +286,7 @@
 	}
 	fit, err := FitLine(points)
 	if err != nil {
-		return nil, err
+		return nil, Fit{}, err
 	}
 	u, err := r.used()
 	name := fmt.Sprintf("over %d databases: ", pool)
@@ -290,5 +296,5 @@
 		measure.Figure(name+"core with no request, intercept", fit.Intercept),
 		measure.Figure(name+"core at the target's 750 requests a second", fit.At(statementsPerRouter)),
 		measure.Figure(name+"share completed of what was asked, least", least),
-		measure.Figure(name+"descriptors in the end, with 64 clients", u.Descriptors)), err
+		measure.Figure(name+"descriptors in the end, with 64 clients", u.Descriptors)), fit, err
 }
