--- a/internal/scale/datapath_process.go
+++ b/internal/scale/datapath_process.go
@@ -65,7 +65,7 @@
 	return "", errors.New("no bin/dunereach: `make build` makes it")
 }
 
-// startRouter starts one and waits until it says that it is ready.
+// startRouter starts one and waits until it says that it serves.
 func startRouter(options routerOptions) (*routerProcess, error) {
 	program, err := routerProgram()
 	if err != nil {
@@ -85,30 +85,37 @@
 	for range standIns {
 		endpoints = append(endpoints, fake.NewEngine(r.desk, r.heard).Addr)
 	}
-	if err := r.configure(options, endpoints); err != nil {
+	if err = r.configure(options, endpoints); err == nil {
+		err = r.spawn(program)
+	}
+	if err != nil {
 		r.desk.End()
 		return nil, err
 	}
+	if _, err := r.awaitLog("serving"); err != nil {
+		r.stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+// spawn starts the process and reads its log.
+func (r *routerProcess) spawn(program string) error {
 	r.command = exec.Command(program)
 	r.command.Env = append(os.Environ(), "BALANCER_NAME=scale", "BALANCER_LISTEN="+r.addr, "BALANCER_CONFIG="+r.config)
 	output, input := io.Pipe()
 	r.command.Stdout, r.command.Stderr = input, input
-	go r.readLog(output)
 	r.started = time.Now()
 	if err := r.command.Start(); err != nil {
-		r.desk.End()
-		return nil, err
+		return err
 	}
+	go r.readLog(output)
 	go func() {
 		err := r.command.Wait()
 		input.Close()
 		r.ended <- err
 	}()
-	if _, err := r.awaitLog("serving"); err != nil {
-		r.stop()
-		return nil, err
-	}
-	return r, nil
+	return nil
 }
 
 // readLog hands lines on. Those that nobody waits for are dropped once the channel is full.
