--- a/internal/scale/datapath_sockets.go
+++ b/internal/scale/datapath_sockets.go
@@ -103,7 +103,7 @@
 	}
 	var resident, descriptors []float64
 	for _, size := range sizes {
-		u, came, err := reachAll(size, routerDescriptors)
+		u, came, err := reachAll(size, routerDescriptors, patience)
 		if err != nil {
 			return nil, fmt.Errorf("%d databases: %w", size, err)
 		}
@@ -121,9 +121,10 @@
 		return nil, err
 	}
 	rows = append(rows, some...)
-	const few = 1024 // descriptors, the usual limit of a process
+	const few = 1024             // descriptors, the usual limit of a process
+	const wait = 5 * time.Second // those that reach none are not waited for any longer
 	most := sizes[len(sizes)-1]
-	_, came, err := reachAll(most, few)
+	_, came, err := reachAll(most, few, wait)
 	if err != nil {
 		return nil, err
 	}
@@ -131,10 +132,10 @@
 		float64(came))), nil
 }
 
-// reachAll starts a router and has as many requests out at once as there are databases. It gives what the router uses then, and how
-// many reached a database.
-func reachAll(databases, descriptors int) (u usage, came int, err error) {
-	const perConnection, wait = 25, 5 * time.Second // of 32 calls that may be open on one
+// reachAll starts a router and has as many requests out at once as there are databases, for so long at the most. It gives what the
+// router uses then, and how many reached a database.
+func reachAll(databases, descriptors int, wait time.Duration) (u usage, came int, err error) {
+	const perConnection = 25 // of 32 calls that may be open on one
 	r, err := startRouter(routerOptions{databases: databases, descriptors: descriptors})
 	if err != nil {
 		return u, 0, err
