--- a/internal/scale/datapath_sockets.go
+++ b/internal/scale/datapath_sockets.go
@@ -103,7 +103,7 @@
 	}
 	var resident, descriptors []float64
 	for _, size := range sizes {
-		u, came, err := reachAll(size, routerDescriptors)
+		u, came, err := reachAll(size, routerDescriptors, patience)
 		if err != nil {
 			return nil, fmt.Errorf("%d databases: %w", size, err)
 		}
@@ -121,9 +121,10 @@
 		return nil, err
 	}
 	rows = append(rows, some...)
-	const few = 1024 // descriptors, the usual limit of a process
+	const few = 1024             // descriptors, the usual limit of a process
+	const wait = 5 * time.Second // those that reach none are not waited for any longer
 	most := sizes[len(sizes)-1]
-	_, came, err := reachAll(most, few)
+	_, came, err := reachAll(most, few, wait)
 	if err != nil {
 		return nil, err
 	}
@@ -131,10 +132,10 @@
 		float64(came))), nil
 }
 
-// reachAll starts a router and has as many requests out at once as there are databases. It gives what the router uses then, and how
-// many reached a database.
-func reachAll(databases, descriptors int) (u usage, came int, err error) {
-	const perConnection, wait = 25, 5 * time.Second // of 32 calls that may be open on one
+// reachAll starts a router and has as many requests out at once as there are databases, for so long at the most. It gives what the
+// router uses then, and how many reached a database.
+func reachAll(databases, descriptors int, wait time.Duration) (u usage, came int, err error) {
+	const perConnection = 25 // of 32 calls that may be open on one
 	r, err := startRouter(routerOptions{databases: databases, descriptors: descriptors})
 	if err != nil {
 		return u, 0, err
@@ -228,21 +229,27 @@
 		pools, rates, window = []int{8, 64}, []int{0, 300, 600, 900}, 500*time.Millisecond
 	}
 	var rows []measure.Row
+	var costs []float64
 	for _, pool := range pools {
-		some, err := requestCostOver(pool, rates, window)
+		some, perSecond, err := requestCostOver(pool, rates, window)
 		if err != nil {
 			return rows, fmt.Errorf("requests over %d databases: %w", pool, err)
 		}
-		rows = append(rows, some...)
+		rows, costs = append(rows, some...), append(costs, perSecond.Slope*1e6)
+	}
+	if len(pools) < 3 {
+		return rows, nil
 	}
-	return rows, nil
+	some, _, err := slopeRows("us of processor time a request, by databases", pools, costs)
+	return append(rows, some...), err
 }
 
-func requestCostOver(pool int, rates []int, window time.Duration) ([]measure.Row, error) {
+// requestCostOver measures one pool at each rate and fits processor time over the requests that were completed in a second.
+func requestCostOver(pool int, rates []int, window time.Duration) ([]measure.Row, Fit, error) {
 	const clientCount, atDatabase, warmUp = 64, 20 * time.Millisecond, 500 * time.Millisecond
 	r, err := startRouter(routerOptions{databases: pool, descriptors: routerDescriptors, sharers: max(pool*TargetRouters/TargetDatabases, 1)})
 	if err != nil {
-		return nil, err
+		return nil, Fit{}, err
 	}
 	defer r.stop()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -250,7 +257,7 @@
 	go r.answerAfter(ctx, atDatabase)
 	clients, err := r.openClients(clientCount)
 	if err != nil {
-		return nil, err
+		return nil, Fit{}, err
 	}
 	paced(clients, statementsPerRouter, warmUp)
 	var points []Point
@@ -259,19 +266,19 @@
 	for _, rate := range rates {
 		before, err := r.used()
 		if err != nil {
-			return nil, err
+			return nil, Fit{}, err
 		}
 		began := time.Now()
 		done := paced(clients, float64(rate), window)
 		took := time.Since(began).Seconds()
 		after, err := r.used()
 		if err != nil {
-			return nil, err
+			return nil, Fit{}, err
 		}
 		if rate > 0 {
 			least = min(least, float64(done)/(float64(rate)*window.Seconds()))
 			if done == 0 {
-				return nil, errServed
+				return nil, Fit{}, errServed
 			}
 		}
 		core := (after.Processor - before.Processor).Seconds() / took
@@ -280,7 +287,7 @@
 	}
 	fit, err := FitLine(points)
 	if err != nil {
-		return nil, err
+		return nil, Fit{}, err
 	}
 	u, err := r.used()
 	name := fmt.Sprintf("over %d databases: ", pool)
@@ -290,5 +297,5 @@
 		measure.Figure(name+"core with no request, intercept", fit.Intercept),
 		measure.Figure(name+"core at the target's 750 requests a second", fit.At(statementsPerRouter)),
 		measure.Figure(name+"share completed of what was asked, least", least),
-		measure.Figure(name+"descriptors in the end, with 64 clients", u.Descriptors)), err
+		measure.Figure(name+"descriptors in the end, with 64 clients", u.Descriptors)), fit, err
 }
