--- a/emulator/modelcheck/explore.go
+++ b/emulator/modelcheck/explore.go
@@ -211,70 +211,24 @@
 	return r, err
 }
 
-// steps is every state that may come next.
+// steps returns every state that may come next.
 func (s *state) steps(b Bounds) (all []*state, err error) {
-	add := func(n *state) { all = append(all, n) }
 	if s.t < b.Time {
 		n := s.copy(fmt.Sprint("time ", s.t+1))
 		n.t++
-		add(n)
+		all = append(all, n)
 	}
 	r, err := s.read()
 	if err != nil {
 		return nil, err
 	}
-	w := r.Work(work)
 	for k := range s.owners {
-		o := &s.owners[k]
-		if o.beats < b.Beats[k] {
-			n := s.copy(names[k] + " beats")
-			n.owners[k].beats++
-			n.flight = append(n.flight, message{kind: 'b', who: k, sent: s.t, session: o.session})
-			add(n)
-		}
-		if fence, ok := o.o.Permit(mine(s.t), work, 0); ok && o.acts < b.Acts {
-			n := s.copy(fmt.Sprint(names[k], " acts under ", fence))
-			n.owners[k].acts++
-			n.flight = append(n.flight, message{kind: 'a', who: k, sent: s.t, fence: fence})
-			add(n)
-		}
-		if o.loses < b.Loses && o.o.Session() != 0 {
-			n := s.copy(names[k] + " is told that its session is over")
-			n.owners[k].loses++
-			n.owners[k].o.Lose()
-			add(n)
-		}
-		if o.lets < b.Lets {
-			n := s.copy(names[k] + " lets go")
-			if c, ok := n.owners[k].o.Release(work); ok {
-				n.owners[k].lets++
-				n.flight = append(n.flight, message{kind: 'r', who: k, sent: s.t, session: o.session, fence: c.Fence})
-				add(n)
-			}
-		}
-		// The keeper: it frees the works of a session that is silent for longer than the lease, and gives free ones to any.
-		if r.Session(o.session) != nil && s.t-s.heard[k] > b.Lease {
-			n := s.copy(fmt.Sprint("the session of ", names[k], " is over"))
-			if _, err := n.apply(registry.Entry{Kind: registry.Close, Session: o.session}); err != nil {
-				return nil, err
-			}
-			add(n)
-		}
-		if x := r.Session(o.session); x != nil && (w == nil || w.Owner == 0) {
-			n := s.copy("the work is given to " + names[k])
-			fence, err := n.apply(registry.Entry{Kind: registry.Assign, Work: work, Session: o.session})
-			if err != nil {
-				return nil, err
-			}
-			n.of = map[uint64]int{fence: k}
-			for f, who := range s.of {
-				if f == fence {
-					return nil, n.found("fence %d is given twice", f)
-				}
-				n.of[f] = who
-			}
-			add(n)
+		all = append(all, s.ownerSteps(b, k)...)
+		more, err := s.coordinatorSteps(b, r, k)
+		if err != nil {
+			return nil, err
 		}
+		all = append(all, more...)
 	}
 	if s.restarts < b.Restarts {
 		n := s.copy("the receiver starts again")
@@ -282,25 +236,89 @@
 		marks, floor := s.gate.Export()
 		n.gate = lease.NewGate()
 		n.gate.Import(marks, floor)
-		add(n)
+		all = append(all, n)
 	}
-	for k, m := range s.flight {
-		took := func(what string) *state {
-			n := s.copy(what)
-			n.flight = append(n.flight[:k:k], n.flight[k+1:]...)
-			return n
+	more, err := s.arrivals(b, r)
+	return append(all, more...), err
+}
+
+// ownerSteps returns what an owner may do: send a heartbeat, act, lose its session, release the task.
+func (s *state) ownerSteps(b Bounds, k int) (all []*state) {
+	o := &s.owners[k]
+	if o.beats < b.Beats[k] {
+		n := s.copy(names[k] + " beats")
+		n.owners[k].beats++
+		n.flight = append(n.flight, message{kind: 'b', who: k, sent: s.t, session: o.session})
+		all = append(all, n)
+	}
+	if fence, ok := o.o.Permit(mine(s.t), work, 0); ok && o.acts < b.Acts {
+		n := s.copy(fmt.Sprint(names[k], " acts under ", fence))
+		n.owners[k].acts++
+		n.flight = append(n.flight, message{kind: 'a', who: k, sent: s.t, fence: fence})
+		all = append(all, n)
+	}
+	if o.loses < b.Loses && o.o.Session() != 0 {
+		n := s.copy(names[k] + " is told that its session is over")
+		n.owners[k].loses++
+		n.owners[k].o.Lose()
+		all = append(all, n)
+	}
+	if o.lets < b.Lets {
+		n := s.copy(names[k] + " lets go")
+		if c, ok := n.owners[k].o.Release(work); ok {
+			n.owners[k].lets++
+			n.flight = append(n.flight, message{kind: 'r', who: k, sent: s.t, session: o.session, fence: c.Fence})
+			all = append(all, n)
 		}
-		n := took(fmt.Sprint("arrives: ", m))
+	}
+	return all
+}
+
+// coordinatorSteps returns what the coordinator may do about an owner: close a session that is silent for longer than the lease, and
+// give it the task if that is free.
+func (s *state) coordinatorSteps(b Bounds, r *registry.Record, k int) (all []*state, err error) {
+	o := &s.owners[k]
+	if r.Session(o.session) != nil && s.t-s.heard[k] > b.Lease {
+		n := s.copy(fmt.Sprint("the session of ", names[k], " is over"))
+		if _, err := n.apply(registry.Entry{Kind: registry.Close, Session: o.session}); err != nil {
+			return nil, err
+		}
+		all = append(all, n)
+	}
+	w := r.Work(work)
+	if r.Session(o.session) == nil || w != nil && w.Owner != 0 {
+		return all, nil
+	}
+	n := s.copy("the work is given to " + names[k])
+	fence, err := n.apply(registry.Entry{Kind: registry.Assign, Work: work, Session: o.session})
+	if err != nil {
+		return nil, err
+	}
+	n.of = map[uint64]int{fence: k}
+	for f, who := range s.of {
+		if f == fence {
+			return nil, n.found("fence %d is given twice", f)
+		}
+		n.of[f] = who
+	}
+	return append(all, n), nil
+}
+
+// arrivals returns the states after each message that is on its way has arrived, once or, within the bound, twice.
+func (s *state) arrivals(b Bounds, r *registry.Record) (all []*state, err error) {
+	for k, m := range s.flight {
+		n := s.copy(fmt.Sprint("arrives: ", m))
+		n.flight = append(n.flight[:k:k], n.flight[k+1:]...)
 		if err := n.arrive(r, m); err != nil {
 			return nil, err
 		}
-		add(n)
+		all = append(all, n)
 		if s.repeats < b.Repeats && !m.again {
 			again := n.copy("and is on its way once more")
 			again.repeats++
 			m.again = true
 			again.flight = append(again.flight, m)
-			add(again)
+			all = append(all, again)
 		}
 	}
 	return all, nil
