--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,18 +150,9 @@
 		s.Tenants = append(s.Tenants, admission.Tenant{QuotaPerS: t.QuotaPerS})
 	}
 	for i, c := range b.Classes {
-		effect, ok := effects[c.Effect]
-		group, ok2 := groups[c.Group]
-		if !ok || !ok2 {
-			return all, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
-		}
-		p := admission.Profile{
-			Target: c.Aim * ms, Stretch: c.AimStretch, Benefit: c.Worth,
-			Effect: effect, Group: group, Window: c.DedupWindow * ms,
-			Ordered: c.ByArrival, Zones: c.RunsIn, Kinds: c.KindsOnly, Threads: 1,
-		}
-		if i < len(b.FamilyInfo.Dop) {
-			p.Threads = max(b.FamilyInfo.Dop[i], 1)
+		p, err := b.profile(i)
+		if err != nil {
+			return all, err
 		}
 		s.Profiles = append(s.Profiles, p)
 		all.Profiles = append(all.Profiles, c.Name)
@@ -173,3 +164,22 @@
 	}
 	return all, nil
 }
+
+// profile turns one class into the controller's profile.
+func (b *bootInfo) profile(i int) (p admission.Profile, err error) {
+	c := &b.Classes[i]
+	effect, knownEffect := effects[c.Effect]
+	group, knownGroup := groups[c.Group]
+	if !knownEffect || !knownGroup {
+		return p, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
+	}
+	p = admission.Profile{
+		Target: c.Aim * ms, Stretch: c.AimStretch, Benefit: c.Worth,
+		Effect: effect, Group: group, Window: c.DedupWindow * ms,
+		Ordered: c.ByArrival, Zones: c.RunsIn, Kinds: c.KindsOnly, Threads: 1,
+	}
+	if i < len(b.FamilyInfo.Dop) {
+		p.Threads = max(b.FamilyInfo.Dop[i], 1)
+	}
+	return p, nil
+}
