--- a/internal/fake/model.go
+++ b/internal/fake/model.go
@@ -15,69 +15,88 @@
 // tells its true work in core seconds, its threads and its memory in a comment: /* work=0.2 threads=1 memory=50 */.
 func Model(ctx context.Context, set engine.Settings, heard <-chan Said) { Paced(ctx, set, heard, nil) }
 
-// Paced is Model with changes of the engine's speed, each a factor on what was set.
+// Paced is Model with changes of the server's speed, each a factor on what was set.
 func Paced(ctx context.Context, set engine.Settings, heard <-chan Said, pace <-chan float64) {
-	start := time.Now()
-	now := func() float64 { return time.Since(start).Seconds() }
-	e := engine.New(set, 0)
-	open := map[uint64]Said{} // what runs, by the model's number
-	type key struct {         // an id means something on its connection only
-		conn net.Conn
-		id   string
-	}
-	ids := map[key]uint64{}
-	var last uint64
+	p := &player{start: time.Now(), model: engine.New(set, 0), open: map[uint64]Said{}, numbers: map[requestID]uint64{}}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
 		const longest = 3600.0
-		timer.Reset(time.Duration(min(max(e.Next()-now(), 0), longest) * 1e9))
+		timer.Reset(time.Duration(min(max(p.model.Next()-p.now(), 0), longest) * 1e9))
 		select {
 		case s, ok := <-heard:
 			if !ok {
 				return
 			}
-			switch id := (key{s.conn, s.Words[1]}); s.Words[0] {
-			case "fetch":
-				last++
-				q := query(s)
-				q.ID = last
-				if !e.Submit(now(), q) {
-					s.Answer("overload", "-", "")
-					break
-				}
-				open[last], ids[id] = s, last
-			case "renice":
-				if n, err := strconv.Atoi(s.Words[2]); err == nil {
-					e.Renice(now(), ids[id], n)
-				}
-			case "abort": // it runs on, but nobody waits
-				delete(open, ids[id])
-				delete(ids, id)
-			}
+			p.receive(s)
 		case <-timer.C:
 		case factor := <-pace:
-			e.Pace(now(), factor)
+			p.model.Pace(p.now(), factor)
 		case <-ctx.Done():
 			return
 		}
-		e.Advance(now())
-		for _, ev := range e.Events() {
-			s, waits := open[ev.ID]
-			if !waits {
-				continue
-			}
-			switch ev.What {
-			case engine.Done:
-				delete(open, ev.ID)
-				delete(ids, key{s.conn, s.Words[1]})
-				s.Answer("served", fmt.Sprintf("count=1,ticks=%.3f", ev.Value*1000), "a\tb\tc\n")
-			case engine.Progress:
-				s.Answer("update", fmt.Sprintf("res=p,reading=%.3f", ev.Value), "")
-			case engine.Spills:
-				s.Answer("update", fmt.Sprintf("res=s,reading=%.3f", ev.Value), "")
-			}
+		p.model.Advance(p.now())
+		for _, event := range p.model.Events() {
+			p.answer(event)
+		}
+	}
+}
+
+// requestID names a request: an id means something on its connection only.
+type requestID struct {
+	conn net.Conn
+	id   string
+}
+
+// player has a model run requests in real time.
+type player struct {
+	start   time.Time
+	model   *engine.Engine
+	open    map[uint64]Said // running requests, by the model's number
+	numbers map[requestID]uint64
+	last    uint64
+}
+
+// now returns the model's time in seconds.
+func (p *player) now() float64 { return time.Since(p.start).Seconds() }
+
+// receive gives a message to the model.
+func (p *player) receive(s Said) {
+	switch id := (requestID{s.conn, s.Words[1]}); s.Words[0] {
+	case "fetch":
+		p.last++
+		q := query(s)
+		q.ID = p.last
+		if !p.model.Submit(p.now(), q) {
+			s.Answer("overload", "-", "")
+			break
+		}
+		p.open[p.last], p.numbers[id] = s, p.last
+	case "renice":
+		if n, err := strconv.Atoi(s.Words[2]); err == nil {
+			p.model.Renice(p.now(), p.numbers[id], n)
 		}
+	case "abort": // it runs on, but nobody waits
+		delete(p.open, p.numbers[id])
+		delete(p.numbers, id)
+	}
+}
+
+// answer sends what an event of the model means to whoever waits for it.
+func (p *player) answer(event engine.Event) {
+	s, waits := p.open[event.ID]
+	if !waits {
+		return
+	}
+	switch event.What {
+	case engine.Done:
+		delete(p.open, event.ID)
+		delete(p.numbers, requestID{s.conn, s.Words[1]})
+		s.Answer("served", fmt.Sprintf("count=1,ticks=%.3f", event.Value*1000), "a\tb\tc\n")
+	case engine.Progress:
+		s.Answer("update", fmt.Sprintf("res=p,reading=%.3f", event.Value), "")
+	case engine.Spills:
+		s.Answer("update", fmt.Sprintf("res=s,reading=%.3f", event.Value), "")
 	}
 }
 
