--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -63,26 +63,12 @@
 	d.Cleanup(func() { os.RemoveAll(dir) })
 	ctx, cancel := context.WithCancel(ctx)
 	d.Cleanup(cancel)
-	names := fake.NewNameServer(d, discovery.Record)
-	var list, targets []string
-	for k := range o.Engines {
-		heard := make(chan fake.Said, 1000) // more than an engine has sessions: a reader waits for none
-		e := fake.NewEngine(d, heard)
-		go fake.Model(ctx, engine.Settings{Cores: cores, Sessions: 64, Knee: 2, Thrash: 0.3, Notes: 2}, heard)
-		list = append(list, fmt.Sprintf("e-%d.hall 0 10 small 0 0 %s", k, e.Addr))
-		targets = append(targets, fmt.Sprintf(`{"uid":"e-%d","endpoint":"%s","az":"hall","model":"small","state":"ready"}`, k, e.Addr))
-	}
-	names.Set(1, list...)
-	addr := fmt.Sprintf("127.%d.%d.%d:4100", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254)) // this router's own
-	config, operators := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
-	if err := write(config, configuration(addr, names.Addr, targets)); err != nil {
-		return err
-	}
-	if err := write(operators, teamsFile); err != nil {
+	f, err := o.setUp(ctx, d, dir)
+	if err != nil {
 		return err
 	}
 	cmd := exec.CommandContext(ctx, o.Router, "serve")
-	cmd.Env = append(os.Environ(), "BALANCER_NAME=demo", "BALANCER_LISTEN="+addr, "BALANCER_CONFIG="+config, "DUNEREACH_OPERATOR="+operators)
+	cmd.Env = append(os.Environ(), "BALANCER_NAME=demo", "BALANCER_LISTEN="+f.addr, "BALANCER_CONFIG="+f.config, "DUNEREACH_OPERATOR="+f.operators)
 	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGTERM) }
 	log, err := os.Create(filepath.Join(dir, "log"))
 	if err != nil {
@@ -97,8 +83,50 @@
 	go func() { ended <- cmd.Wait() }()
 	fmt.Fprintf(out, "A router at %s, %d model engines of %d cores, a name server; %.0f s of load by two teams of equal weight:\n"+
 		"planning asks for reports of 1 core second, %d at a time; clerks look up without end, %d at a time.\n\n",
-		addr, o.Engines, cores, o.Seconds, o.Planner, o.Flood)
-	planning, clerks := &team{name: "planning"}, &team{name: "clerks"}
+		f.addr, o.Engines, cores, o.Seconds, o.Planner, o.Flood)
+	planning, clerks := o.load(d, f.addr)
+	cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err = <-ended:
+	case <-time.After(fake.Patience):
+		err = fmt.Errorf("the router did not end")
+	}
+	if err != nil {
+		text, _ := os.ReadFile(log.Name())
+		return fmt.Errorf("%v\n%s", err, text)
+	}
+	return printTable(out, planning, clerks)
+}
+
+// files is where a demonstration's router finds what it reads, and listens.
+type files struct{ addr, config, operators string }
+
+// setUp starts a name server and model servers, and writes the router's files to a folder.
+func (o *Options) setUp(ctx context.Context, d *fake.Desk, dir string) (f files, err error) {
+	names := fake.NewNameServer(d, discovery.Record)
+	var list, targets []string
+	for k := range o.Engines {
+		heard := make(chan fake.Said, 1000) // more than an engine has sessions: a reader waits for none
+		e := fake.NewEngine(d, heard)
+		go fake.Model(ctx, engine.Settings{Cores: cores, Sessions: 64, Knee: 2, Thrash: 0.3, Notes: 2}, heard)
+		list = append(list, fmt.Sprintf("e-%d.hall 0 10 small 0 0 %s", k, e.Addr))
+		targets = append(targets, fmt.Sprintf(`{"uid":"e-%d","endpoint":"%s","az":"hall","model":"small","state":"ready"}`, k, e.Addr))
+	}
+	names.Set(1, list...)
+	f.addr = fmt.Sprintf("127.%d.%d.%d:4100", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254)) // this router's own
+	f.config, f.operators = filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
+	if err := write(f.config, configuration(f.addr, names.Addr, targets)); err != nil {
+		return f, err
+	}
+	if err := write(f.operators, teamsFile); err != nil {
+		return f, err
+	}
+	return f, nil
+}
+
+// load has both teams' clients ask for as long as the options say, and returns how the teams fared.
+func (o *Options) load(d *fake.Desk, addr string) (planning, clerks *team) {
+	planning, clerks = &team{name: "planning"}, &team{name: "clerks"}
 	until := time.Now().Add(time.Duration(o.Seconds * 1e9))
 	var clients sync.WaitGroup
 	for k := range o.Planner + o.Flood {
@@ -111,19 +139,14 @@
 		})
 	}
 	clients.Wait()
-	cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case err = <-ended:
-	case <-time.After(fake.Patience):
-		err = fmt.Errorf("the router did not end")
-	}
-	if err != nil {
-		text, _ := os.ReadFile(log.Name())
-		return fmt.Errorf("%v\n%s", err, text)
-	}
+	return planning, clerks
+}
+
+// printTable prints a line for each team.
+func printTable(out io.Writer, teams ...*team) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "team\tanswered\tin time\tshed\tfailed\twaited p50\tp90 (ms)\ttook p50\tp90 (ms)\t")
-	for _, t := range []*team{planning, clerks} {
+	for _, t := range teams {
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t\n", t.name, t.answered, t.inTime, t.shed, t.failed,
 			quantile(t.waited, 0.5), quantile(t.waited, 0.9), quantile(t.took, 0.5), quantile(t.took, 0.9))
 	}
