--- a/admission/memory.go
+++ b/admission/memory.go
@@ -44,7 +44,7 @@
 }
 
 // Knows is what this process knows now. Engines' starts are by the module's clock: the caller moves them to one that lasts.
-func (b *Brain) Knows() (k warmstart.Known) {
+func (b *Brain) Knows() (k warmstart.Knowledge) {
 	prints := Fingerprints(b.set.Profiles)
 	for n := range b.prof {
 		p := &b.prof[n]
@@ -53,7 +53,7 @@
 	}
 	for n := range b.engines {
 		if e := &b.engines[n]; e.State == Ready && (e.ill || b.slowOf(e) > 1.05) {
-			k.Engines = append(k.Engines, warmstart.Engine{ID: e.Engine, Start: e.ReadyAt, Slow: b.slowOf(e), Fails: e.fails, Ill: e.ill, Pause: e.pause})
+			k.Engines = append(k.Engines, warmstart.Server{ID: e.Engine, Start: e.ReadyAt, Slow: b.slowOf(e), Fails: e.fails, Ill: e.ill, Pause: e.pause})
 		}
 	}
 	rates := b.set.Rates()
--- a/emulator/cluster/recall_test.go
+++ b/emulator/cluster/recall_test.go
@@ -12,7 +12,7 @@
 )
 
 // believed is what a restarted router of the town believes: engines' starts are by the same clock here.
-func believed(k warmstart.Known, age float64, s *admission.Settings) *warmstart.Beliefs {
+func believed(k warmstart.Knowledge, age float64, s *admission.Settings) *warmstart.Beliefs {
 	b := warmstart.Believe(k, age, true, admission.Fingerprints(s.Profiles), s.Rates())
 	return &b
 }
@@ -143,7 +143,7 @@
 		age := rapid.SampledFrom([]float64{0.1, 5, 60, 1e4}).Draw(t, "age")
 		sure := rapid.Bool().Draw(t, "sure")
 		s.Seed = rapid.Uint64().Draw(t, "seed")
-		s.Recall = func(k warmstart.Known, _ float64, s *admission.Settings) *warmstart.Beliefs {
+		s.Recall = func(k warmstart.Knowledge, _ float64, s *admission.Settings) *warmstart.Beliefs {
 			b := warmstart.Believe(k, age, sure, admission.Fingerprints(s.Profiles), s.Rates())
 			return &b
 		}
@@ -165,7 +165,7 @@
 		any := func(name string) float64 {
 			return rapid.OneOf(rapid.Float64Range(0, 100), rapid.SampledFrom([]float64{0, 1e-9, 1e9, 1e12})).Draw(t, name)
 		}
-		hostile := func(k warmstart.Known, _ float64, _ *admission.Settings) *warmstart.Beliefs {
+		hostile := func(k warmstart.Knowledge, _ float64, _ *admission.Settings) *warmstart.Beliefs {
 			b := &warmstart.Beliefs{}
 			for _, p := range k.Profiles {
 				p.Work, p.Seen, p.Hinted, p.Worked, p.Slow = any("work"), any("seen"), any("hinted"), any("worked"), 1+any("slow")
@@ -177,7 +177,7 @@
 			}
 			for n := range 3 {
 				for _, e := range []uint32{1, 2, 3, 1 << 30} {
-					b.Engines = append(b.Engines, warmstart.Engine{ID: e + uint32(n), Slow: 1 + any("slow"), Fails: rapid.Float64Range(0, 1).Draw(t, "fails"), Ill: true, Pause: rapid.Float64Range(0, 60).Draw(t, "pause")})
+					b.Engines = append(b.Engines, warmstart.Server{ID: e + uint32(n), Slow: 1 + any("slow"), Fails: rapid.Float64Range(0, 1).Draw(t, "fails"), Ill: true, Pause: rapid.Float64Range(0, 60).Draw(t, "pause")})
 				}
 			}
 			for range k.Tenants {
--- a/emulator/cluster/town.go
+++ b/emulator/cluster/town.go
@@ -72,7 +72,7 @@
 }
 
 // Recall gives what is believed of what a process knew that ended so many seconds ago.
-type Recall func(k warmstart.Known, age float64, s *admission.Settings) *warmstart.Beliefs
+type Recall func(k warmstart.Knowledge, age float64, s *admission.Settings) *warmstart.Beliefs
 
 // Shadow is a refused command that nobody sends again: the module is asked every 50 ms whether it would let it in.
 type Shadow struct {
@@ -243,7 +243,7 @@
 	told     []told // by engine
 	further  []float64
 	taken    []float64
-	knew     warmstart.Known // by the process that ended last, and when that was
+	knew     warmstart.Knowledge // by the process that ended last, and when that was
 	diedAt   float64
 }
 
--- a/internal/measure/state.go
+++ b/internal/measure/state.go
@@ -198,9 +198,9 @@
 // ages is how much of each kind of knowledge is believed, by its age.
 func ages() (rows []Row) {
 	settings, rates := []uint64{1}, []float64{2}
-	then := warmstart.Moment{Wall: 1e9, Up: 1e6, Boot: "b"}
-	kept := warmstart.Kept{At: then, Profiles: []warmstart.Profile{{Settings: 1, Work: 0.1, Seen: 100, Hinted: 10, Worked: 20, Slow: 3, Times: warmstart.Times{Counts: []float64{1000}, Sum: 100}}},
-		Quick: warmstart.Quick{At: then, Known: warmstart.Known{Engines: []warmstart.Engine{{ID: 1, Slow: 2, Fails: 0.8, Ill: true, Pause: 1}}, Tenants: []warmstart.Tenant{{Left: -60, Rate: 2}}}}}
+	then := warmstart.Timestamp{Wall: 1e9, Up: 1e6, Boot: "b"}
+	kept := warmstart.Snapshot{At: then, Profiles: []warmstart.Profile{{Settings: 1, Work: 0.1, Seen: 100, Hinted: 10, Worked: 20, Slow: 3, Times: warmstart.Times{Counts: []float64{1000}, Sum: 100}}},
+		Quick: warmstart.Record{At: then, Known: warmstart.Knowledge{Engines: []warmstart.Server{{ID: 1, Slow: 2, Fails: 0.8, Ill: true, Pause: 1}}, Tenants: []warmstart.Tenant{{Left: -60, Rate: 2}}}}}
 	for _, a := range []struct {
 		name              string
 		age               float64
@@ -212,7 +212,7 @@
 		{"1 hour", 3600, [2]float64{0, 1}, [2]float64{0, 0}, [2]float64{-7140, -7140}},
 		{"3 days", 3 * 86400, [2]float64{0, 0}, [2]float64{0, 0}, [2]float64{-1e6, -5e5}},
 	} {
-		r := warmstart.Recall(kept, nil, warmstart.Moment{Wall: then.Wall + a.age, Up: then.Up + a.age, Boot: "b"}, settings, rates)
+		r := warmstart.Restore(kept, nil, warmstart.Timestamp{Wall: then.Wall + a.age, Up: then.Up + a.age, Boot: "b"}, settings, rates)
 		ill := 0.0
 		for _, e := range r.Engines {
 			if e.Ill {
@@ -224,22 +224,22 @@
 			Between("knowledge of "+a.name+": engines still taken for ill, of one", ill, a.ill[0], a.ill[1]),
 			Between("knowledge of "+a.name+": a tenant's debt of sixty", -r.Tenants[0].Left, a.debts[0], a.debts[1]))
 	}
-	r := warmstart.Recall(kept, nil, warmstart.Moment{Wall: then.Wall - 100, Up: 5, Boot: "c"}, settings, rates)
+	r := warmstart.Restore(kept, nil, warmstart.Timestamp{Wall: then.Wall - 100, Up: 5, Boot: "c"}, settings, rates)
 	return append(rows, AtMost("a clock that went back: processing times, of forty", r.Profiles[0].Times.N(), 10), AtMost("a clock that went back: engines taken for ill", float64(len(r.Engines)), 0))
 }
 
 // fullKept is as much as is read at all: a thousand profiles, four thousand engines and tenants.
-func fullKept() warmstart.Kept {
-	k := warmstart.Kept{At: warmstart.Moment{Wall: 1, Up: 1}}
-	for n := range warmstart.MostProfiles {
+func fullKept() warmstart.Snapshot {
+	k := warmstart.Snapshot{At: warmstart.Timestamp{Wall: 1, Up: 1}}
+	for n := range warmstart.MaxProfiles {
 		p := warmstart.Profile{Settings: uint64(n), Work: 0.1, Seen: 50, Hinted: 3, Worked: 4, Slow: 1.2}
 		for b := range 90 {
 			p.Times.Counts = append(p.Times.Counts, 1.5*float64(b))
 		}
 		k.Profiles = append(k.Profiles, p)
 	}
-	for n := range warmstart.MostEngines {
-		k.Quick.Known.Engines = append(k.Quick.Known.Engines, warmstart.Engine{ID: uint32(n), Start: 1e9, Slow: 1.5, Fails: 0.3, Ill: true, Pause: 1})
+	for n := range warmstart.MaxServers {
+		k.Quick.Known.Engines = append(k.Quick.Known.Engines, warmstart.Server{ID: uint32(n), Start: 1e9, Slow: 1.5, Fails: 0.3, Ill: true, Pause: 1})
 		k.Quick.Known.Tenants = append(k.Quick.Known.Tenants, warmstart.Tenant{Left: -1.5, Rate: 3})
 	}
 	return k
@@ -263,7 +263,7 @@
 	if err := s.Snapshot(body); err != nil {
 		return nil, err
 	}
-	quick, err := cbor.Marshal(warmstart.Quick{Known: warmstart.Known{Engines: fullKept().Quick.Known.Engines[:500]}})
+	quick, err := cbor.Marshal(warmstart.Record{Known: warmstart.Knowledge{Engines: fullKept().Quick.Known.Engines[:500]}})
 	if err != nil {
 		return nil, err
 	}
@@ -278,12 +278,12 @@
 	if err != nil {
 		return nil, err
 	}
-	var k warmstart.Kept
-	var q warmstart.Quick
+	var k warmstart.Snapshot
+	var q warmstart.Record
 	if err := errors.Join(cbor.Unmarshal(r.Body, &k), cbor.Unmarshal(r.Records[len(r.Records)-1], &q)); err != nil {
 		return nil, err
 	}
-	warmstart.Recall(k, []warmstart.Quick{q}, warmstart.Moment{Wall: 2, Up: 2}, make([]uint64, warmstart.MostProfiles), make([]float64, warmstart.MostTenants))
+	warmstart.Restore(k, []warmstart.Record{q}, warmstart.Timestamp{Wall: 2, Up: 2}, make([]uint64, warmstart.MaxProfiles), make([]float64, warmstart.MaxTenants))
 	took := time.Since(began)
 	runtime.ReadMemStats(&after)
 	_, bytes := store.Size(dir, "n1")
@@ -375,7 +375,7 @@
 
 // regret is what a restart in the peak costs: all routers restart at once, with what they knew and with nothing, against never.
 func regret(days int) ([]Row, error) {
-	believed := func(k warmstart.Known, age float64, s *admission.Settings) *warmstart.Beliefs {
+	believed := func(k warmstart.Knowledge, age float64, s *admission.Settings) *warmstart.Beliefs {
 		b := warmstart.Believe(k, age, true, admission.Fingerprints(s.Profiles), s.Rates())
 		return &b
 	}
@@ -471,7 +471,7 @@
 	for r := range routers { // the last of them is back just after
 		s.Happens = append(s.Happens, cluster.Happening{At: began + 3 + (ended-began-3)*float64(r)/float64(routers), For: 0.2, Act: cluster.Restart, Routers: []int{r}})
 	}
-	s.Recall = func(k warmstart.Known, age float64, s *admission.Settings) *warmstart.Beliefs {
+	s.Recall = func(k warmstart.Knowledge, age float64, s *admission.Settings) *warmstart.Beliefs {
 		b := warmstart.Believe(k, age, true, admission.Fingerprints(s.Profiles), s.Rates())
 		return &b
 	}
--- a/internal/router/knows.go
+++ b/internal/router/knows.go
@@ -23,7 +23,7 @@
 }
 
 // Quick is what changes fast, and Slow the rest.
-func (r *Router) Quick() (q warmstart.Quick) {
+func (r *Router) Quick() (q warmstart.Record) {
 	q.Known = r.mind.Knows()
 	q.Known.Profiles = nil
 	if r.teams != nil {
@@ -63,7 +63,7 @@
 }
 
 // Recall has the router start with what is believed.
-func (r *Router) Recall(x warmstart.Recalled) {
+func (r *Router) Recall(x warmstart.Restored) {
 	r.set.Brain.Memory = &x.Beliefs
 	if r.teams != nil {
 		r.teams.RestoreLevels(x.Teams)
--- a/internal/state/body.go
+++ b/internal/state/body.go
@@ -25,17 +25,17 @@
 // A body is a memory.Kept; a record of the journal is a memory.Quick. Both are maps with numbered keys, so a later minor version may
 // add some: who does not know them passes them over, and compact carries them on.
 
-func pack(k warmstart.Kept) ([]byte, error) { return cbor.Marshal(k) }
+func pack(k warmstart.Snapshot) ([]byte, error) { return cbor.Marshal(k) }
 
-func packQuick(q warmstart.Quick) ([]byte, error) { return cbor.Marshal(q) }
+func packQuick(q warmstart.Record) ([]byte, error) { return cbor.Marshal(q) }
 
 // unpack a snapshot's body and the journal's records. What can't be read ends the reading of the journal there.
-func unpack(body []byte, records [][]byte) (k warmstart.Kept, quick []warmstart.Quick, err error) {
+func unpack(body []byte, records [][]byte) (k warmstart.Snapshot, quick []warmstart.Record, err error) {
 	if err = reader.Unmarshal(body, &k); err != nil {
-		return warmstart.Kept{}, nil, fmt.Errorf("its body: %v", err)
+		return warmstart.Snapshot{}, nil, fmt.Errorf("its body: %v", err)
 	}
 	for n, r := range records {
-		var q warmstart.Quick
+		var q warmstart.Record
 		if err := reader.Unmarshal(r, &q); err != nil {
 			return k, quick, fmt.Errorf("record %d: %v", n, err)
 		}
@@ -89,8 +89,8 @@
 }()
 
 // moment by this machine's clocks.
-func moment() warmstart.Moment {
-	return warmstart.Moment{Wall: float64(time.Now().UnixMicro()) / 1e6, Up: boottime.Now(), Boot: boot}
+func moment() warmstart.Timestamp {
+	return warmstart.Timestamp{Wall: float64(time.Now().UnixMicro()) / 1e6, Up: boottime.Now(), Boot: boot}
 }
 
 // boot names this start of the machine, "": it is not told.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -40,8 +40,8 @@
 	runner *jobrunner.Runner
 	store  *store.Store // the jobs' alone, which run one at a time
 
-	latest atomic.Pointer[warmstart.Kept] // written by the owner, never changed after
-	quick  atomic.Pointer[warmstart.Quick]
+	latest atomic.Pointer[warmstart.Snapshot] // written by the owner, never changed after
+	quick  atomic.Pointer[warmstart.Record]
 
 	began           time.Time
 	quickAt, slowAt float64 // the owner's
@@ -93,7 +93,7 @@
 		}
 	}
 	settings, rates := m.Prints()
-	r := warmstart.Recall(kept, records, moment(), settings, rates)
+	r := warmstart.Restore(kept, records, moment(), settings, rates)
 	for _, why := range r.Why {
 		k.log.Info("not believed", zap.String("why", why))
 	}
@@ -136,7 +136,7 @@
 }
 
 func (k *Keeper) know(m *router.Router) {
-	kept := warmstart.Kept{At: moment()}
+	kept := warmstart.Snapshot{At: moment()}
 	kept.Profiles, kept.Waits = m.Slow()
 	k.latest.Store(&kept)
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -33,13 +33,13 @@
 var update = flag.Bool("update", false, "write the golden files of this version")
 
 // known is knowledge of every kind.
-func known() (warmstart.Kept, warmstart.Quick) {
-	k := warmstart.Kept{At: warmstart.Moment{Wall: 1000, Up: 10, Boot: "b"},
+func known() (warmstart.Snapshot, warmstart.Record) {
+	k := warmstart.Snapshot{At: warmstart.Timestamp{Wall: 1000, Up: 10, Boot: "b"},
 		Profiles: []warmstart.Profile{{Settings: 7, Work: 0.2, Seen: 9, Hinted: 1, Worked: 2, Slow: 1.5, Times: warmstart.Times{Counts: []float64{1, 2, 3}, Sum: 4}}},
-		Quick:    warmstart.Quick{At: warmstart.Moment{Wall: 999, Up: 9, Boot: "b"}, Serial: 3},
+		Quick:    warmstart.Record{At: warmstart.Timestamp{Wall: 999, Up: 9, Boot: "b"}, Serial: 3},
 		Waits:    []warmstart.Wait{{Team: "x", Profile: 0, Of: []warmstart.Correction{{N: 5, Q50: 0.1, Q90: 0.2, Dev: 0.3}}}}}
-	q := warmstart.Quick{At: warmstart.Moment{Wall: 1001, Up: 11, Boot: "b"}, Serial: 4, Up: 20, Teams: []warmstart.Team{{Name: "x", Ahead: 1.5}},
-		Known: warmstart.Known{Engines: []warmstart.Engine{{ID: 4, Start: 900, Slow: 2, Fails: 0.5, Ill: true, Pause: 1}}, Tenants: []warmstart.Tenant{{Left: -2, Rate: 4}}, Cut: 3, Pace: 1.2, Asked: 5, Span: 6}}
+	q := warmstart.Record{At: warmstart.Timestamp{Wall: 1001, Up: 11, Boot: "b"}, Serial: 4, Up: 20, Teams: []warmstart.Team{{Name: "x", Ahead: 1.5}},
+		Known: warmstart.Knowledge{Engines: []warmstart.Server{{ID: 4, Start: 900, Slow: 2, Fails: 0.5, Ill: true, Pause: 1}}, Tenants: []warmstart.Tenant{{Left: -2, Rate: 4}}, Cut: 3, Pace: 1.2, Asked: 5, Span: 6}}
 	return k, q
 }
 
@@ -84,7 +84,7 @@
 		if err != nil {
 			t.Fatalf("version %d: %v", v, err)
 		}
-		if diff := cmp.Diff(k, kept) + cmp.Diff([]warmstart.Quick{q}, quick); diff != "" {
+		if diff := cmp.Diff(k, kept) + cmp.Diff([]warmstart.Record{q}, quick); diff != "" {
 			t.Errorf("version %d is read otherwise (-written +read):\n%s", v, diff)
 		}
 	}
@@ -104,7 +104,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	old, _ := packQuick(warmstart.Quick{Serial: 1})
+	old, _ := packQuick(warmstart.Record{Serial: 1})
 	newest, _ := packQuick(q)
 	merged, err := merge(later, [][]byte{old, newest})
 	if err != nil {
@@ -132,7 +132,7 @@
 	f.Add(bytes.Repeat([]byte{0x81}, 5000), record)                                         // nested without end
 	f.Fuzz(func(t *testing.T, body, record []byte) {
 		kept, quick, _ := unpack(body, [][]byte{record})
-		r := warmstart.Recall(kept, quick, warmstart.Moment{Wall: 1010, Up: 20, Boot: "b"}, []uint64{7, 8}, []float64{4})
+		r := warmstart.Restore(kept, quick, warmstart.Timestamp{Wall: 1010, Up: 20, Boot: "b"}, []uint64{7, 8}, []float64{4})
 		if len(r.Profiles) != 2 || len(r.Tenants) != 1 {
 			t.Fatalf("%+v", r)
 		}
--- a/warmstart/memory_test.go
+++ b/warmstart/warmstart_test.go
@@ -10,18 +10,18 @@
 func TestAge(t *testing.T) {
 	for _, c := range []struct {
 		name      string
-		now, then Moment
+		now, then Timestamp
 		age       float64
 		ok        bool
 	}{
-		{"the same start", Moment{1000, 50, "a"}, Moment{990, 40, "a"}, 10, true},
-		{"the wall clock was set back meanwhile", Moment{500, 50, "a"}, Moment{990, 40, "a"}, 10, true},
-		{"another start", Moment{1000, 5, "b"}, Moment{900, 400, "a"}, 100, true},
-		{"the clock went backwards over a restart", Moment{800, 5, "b"}, Moment{900, 400, "a"}, 0, false},
-		{"it was set back, and the machine has been up for longer than it says", Moment{1000, 500, "b"}, Moment{900, 400, "a"}, 0, false},
-		{"it was set ahead by a year", Moment{1000 + 365*86400, 5, "b"}, Moment{900, 400, "a"}, 0, false},
-		{"a folder of another machine under the same name", Moment{1000, 5, "a"}, Moment{900, 400, "a"}, 0, false},
-		{"no number", Moment{math.NaN(), 5, "b"}, Moment{900, 400, "a"}, 0, false},
+		{"the same start", Timestamp{1000, 50, "a"}, Timestamp{990, 40, "a"}, 10, true},
+		{"the wall clock was set back meanwhile", Timestamp{500, 50, "a"}, Timestamp{990, 40, "a"}, 10, true},
+		{"another start", Timestamp{1000, 5, "b"}, Timestamp{900, 400, "a"}, 100, true},
+		{"the clock went backwards over a restart", Timestamp{800, 5, "b"}, Timestamp{900, 400, "a"}, 0, false},
+		{"it was set back, and the machine has been up for longer than it says", Timestamp{1000, 500, "b"}, Timestamp{900, 400, "a"}, 0, false},
+		{"it was set ahead by a year", Timestamp{1000 + 365*86400, 5, "b"}, Timestamp{900, 400, "a"}, 0, false},
+		{"a folder of another machine under the same name", Timestamp{1000, 5, "a"}, Timestamp{900, 400, "a"}, 0, false},
+		{"no number", Timestamp{math.NaN(), 5, "b"}, Timestamp{900, 400, "a"}, 0, false},
 	} {
 		if age, ok := c.now.Age(c.then); age != c.age || ok != c.ok {
 			t.Errorf("%s: %v %v, not %v %v", c.name, age, ok, c.age, c.ok)
@@ -36,7 +36,7 @@
 // TestDiscount: what is minutes old weighs as few samples do, a day old next to nothing; what lives for seconds is gone.
 func TestDiscount(t *testing.T) {
 	at := func(age float64, ok bool) Profile {
-		return Believe(Known{Profiles: []Profile{profile()}}, age, ok, []uint64{7}, nil).Profiles[0]
+		return Believe(Knowledge{Profiles: []Profile{profile()}}, age, ok, []uint64{7}, nil).Profiles[0]
 	}
 	for _, c := range []struct {
 		age               float64
@@ -50,7 +50,7 @@
 	if p := at(0, false); p.Times.N() != 10 || p.Slow != 1 || p.Seen != 2.5 {
 		t.Errorf("of unknown age: %+v", p)
 	}
-	b := Believe(Known{Profiles: []Profile{profile()}}, 1, true, []uint64{8}, nil)
+	b := Believe(Knowledge{Profiles: []Profile{profile()}}, 1, true, []uint64{8}, nil)
 	if b.Profiles[0].Seen != 0 || len(b.Why) != 1 {
 		t.Errorf("other settings: %+v", b)
 	}
@@ -58,7 +58,7 @@
 
 // TestTrouble: an engine's trouble is believed for some seconds, and of its own start alone, which the caller compares.
 func TestTrouble(t *testing.T) {
-	k := Known{Engines: []Engine{{ID: 1, Start: 50, Slow: 4, Fails: 0.8, Ill: true, Pause: 2}, {ID: 2, Slow: 1}}}
+	k := Knowledge{Engines: []Server{{ID: 1, Start: 50, Slow: 4, Fails: 0.8, Ill: true, Pause: 2}, {ID: 2, Slow: 1}}}
 	if b := Believe(k, 5, true, nil, nil); len(b.Engines) != 1 || !b.Engines[0].Ill || b.Engines[0].Start != 50 {
 		t.Errorf("after 5 s: %+v", b.Engines)
 	}
@@ -74,7 +74,7 @@
 
 // TestDebts: a tenant's debt is paid by time; with another quota, or when nobody knows how long it was, it starts anew.
 func TestDebts(t *testing.T) {
-	k := Known{Tenants: []Tenant{{Left: -20, Rate: 4}}}
+	k := Knowledge{Tenants: []Tenant{{Left: -20, Rate: 4}}}
 	if b := Believe(k, 3, true, nil, []float64{4}); b.Tenants[0].Left != -8 {
 		t.Errorf("%+v", b.Tenants)
 	}
@@ -91,7 +91,7 @@
 		any := func(name string) float64 {
 			return rapid.OneOf(rapid.Float64Range(-10, 1000), rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), math.Copysign(0, -1), 1e300, 5e-324})).Draw(t, name)
 		}
-		k := Known{Cut: any("cut"), Pace: any("pace"), Asked: any("asked"), Span: any("span")}
+		k := Knowledge{Cut: any("cut"), Pace: any("pace"), Asked: any("asked"), Span: any("span")}
 		for range rapid.IntRange(0, 3).Draw(t, "profiles") {
 			p := Profile{Settings: 7, Work: any("work"), Seen: any("seen"), Hinted: any("hinted"), Worked: any("worked"), Slow: any("slow"), Times: Times{Sum: any("sum")}}
 			for range rapid.IntRange(0, 5).Draw(t, "buckets") {
@@ -100,7 +100,7 @@
 			k.Profiles = append(k.Profiles, p)
 		}
 		for n := range rapid.IntRange(0, 3).Draw(t, "engines") {
-			k.Engines = append(k.Engines, Engine{uint32(n), any("start"), any("slow"), any("fails"), rapid.Bool().Draw(t, "ill"), any("pause")})
+			k.Engines = append(k.Engines, Server{uint32(n), any("start"), any("slow"), any("fails"), rapid.Bool().Draw(t, "ill"), any("pause")})
 		}
 		for range rapid.IntRange(0, 2).Draw(t, "tenants") {
 			k.Tenants = append(k.Tenants, Tenant{any("left"), any("rate")})
@@ -113,8 +113,8 @@
 			}
 		}
 		for _, p := range b.Profiles {
-			check("times", p.Times.N(), 0, mostTimes+1e-6)
-			check("answers", p.Seen, 0, mostSeen)
+			check("times", p.Times.N(), 0, maxTimesWeight+1e-6)
+			check("answers", p.Seen, 0, maxSeenWeight)
 			check("slowdown", p.Slow, 0, 1e3)
 			check("work", p.Work, 0, 1e6)
 			if p.Hinted > 0 {
