--- a/internal/lineproto/lines.go
+++ b/internal/lineproto/lines.go
@@ -1,5 +1,5 @@
-// Package lineproto is the engines' protocol: lines of words ending in CR LF, some with a length and that many
-// bytes and CR LF behind. It knows no socket.
+// Package lineproto reads and writes the servers' line protocol: lines of words that end in CR LF, some followed by a body of a
+// given length and CR LF. It does no I/O.
 package lineproto
 
 import (
@@ -13,13 +13,13 @@
 	maxBody = 16 << 10 // a page has 6,000 bytes at most
 )
 
-// Answer is one answer of an engine; its bytes are good for the call that gets it only.
+// Answer is one message of a server. Its bytes are valid during the call that passes it only.
 type Answer struct{ ID, Word, Fields, Body []byte }
 
-// ErrGarbled tells of a line that is none of the protocol.
+// ErrGarbled is returned for a line that does not follow the protocol.
 var ErrGarbled = errors.New("line can't be read")
 
-// Parser cuts a stream of bytes into answers. It keeps bytes of an unfinished answer only.
+// Parser splits a stream of bytes into answers. It buffers only the bytes of an unfinished one.
 type Parser struct{ kept []byte }
 
 // Reader takes answers.
@@ -28,7 +28,7 @@
 	Answer(a Answer) bool
 }
 
-// Feed calls the reader with every answer that is whole now.
+// Feed calls the reader with each answer that is complete now.
 func (p *Parser) Feed(b []byte, to Reader) error {
 	if len(p.kept) > 0 {
 		p.kept = append(p.kept, b...)
@@ -51,7 +51,7 @@
 	return nil
 }
 
-// Half tells whether an answer that is not whole has begun.
+// Half reports whether an unfinished answer is buffered.
 func (p *Parser) Half() bool { return len(p.kept) > 0 }
 
 // next reads one answer off the front; n is 0 where it is not whole.
@@ -122,7 +122,7 @@
 
 func printed(c byte) bool { return c > ' ' && c < 0x7f && c != '=' }
 
-// Field is the value of a field by its name, nil where it is absent.
+// Field returns the value of a field by its name, or nil.
 func Field(fields []byte, name string) []byte {
 	for len(fields) > 0 {
 		var f []byte
@@ -134,7 +134,7 @@
 	return nil
 }
 
-// Number reads a plain count.
+// Number parses a decimal count; ok is false where it is none.
 func Number(b []byte) (n int, ok bool) {
 	if len(b) == 0 || len(b) > 9 {
 		return 0, false
@@ -150,7 +150,8 @@
 
 // The writers append one message each.
 
-// Fetch asks for a query to be run. Priority 1 is what goes without saying; a token is that of a uniqued command.
+// Fetch appends a request to run a query. A priority of 1 is the default and is left out; token is the key of a request that is
+// idempotent by key, or empty.
 func Fetch(b, id []byte, kind string, wait, priority int, token, statement []byte) []byte {
 	b = append(append(append(b, "fetch "...), id...), " kind="...)
 	b = strconv.AppendInt(append(append(b, kind...), ",ms="...), int64(wait), 10)
@@ -164,16 +165,16 @@
 	return append(append(append(b, "\r\n"...), statement...), "\r\n"...)
 }
 
-// Abort appends a message that ends a query before its result is complete.
+// Abort appends a message that aborts a query of whose result nothing has come.
 func Abort(b, id []byte) []byte { return append(append(append(b, "abort "...), id...), "\r\n"...) }
 
-// Done appends a message that says that no more of a query's result is wanted.
+// Done appends a message that releases the pages of a result that the server keeps.
 func Done(b, id []byte) []byte { return append(append(append(b, "done "...), id...), "\r\n"...) }
 
 // Renice appends a message that changes a query's priority to n.
 func Renice(b, id []byte, n int) []byte { return numbered(b, "renice ", id, n) }
 
-// More appends a message that asks for n more pages of a query's result.
+// More appends a message that asks for page n of a result.
 func More(b, id []byte, n int) []byte { return numbered(b, "more ", id, n) }
 
 func numbered(b []byte, verb string, id []byte, n int) []byte {
--- a/internal/netaddr/private.go
+++ b/internal/netaddr/netaddr.go
@@ -1,4 +1,4 @@
-// Package netaddr tells which addresses the fleet's own talk may use.
+// Package netaddr checks which addresses control traffic may use.
 package netaddr
 
 import (
@@ -6,8 +6,8 @@
 	"net/netip"
 )
 
-// Check an address that keepers listen on or that is called: loopback and private ranges only. Keepers and routers know each
-// other by nothing but what they say, so whoever reaches the port could end sessions and take works.
+// Check returns an error for an address that coordinators may not listen on or be called at: only loopback and private ranges are
+// allowed. Coordinators and routers do not authenticate each other, so whoever reaches the port could end sessions and take tasks.
 func Check(addr string) error {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,5 +1,6 @@
-// Package state keeps what a router has learned in a folder, and gives it to the process that comes after it. It decides nothing: what
-// of it is believed package memory decides, when it is written package background. The owner's goroutine never waits for a disk.
+// Package state stores what a router has learned in a folder, and restores it in the next process. It decides nothing: package
+// warmstart decides what is believed, package jobs when it is written. The goroutine that owns the router's state never waits for
+// a disk.
 package state
 
 import (
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,5 +1,5 @@
-// Package store keeps a process's knowledge in a folder that is never half written: snapshots, each a file of its own, and a journal of
-// small records since the newest. It knows nothing of what it keeps: bodies are bytes.
+// Package store keeps snapshots and a journal in a folder that is never half written: each snapshot is a file of its own, and the
+// journal holds small records since the newest. It does not interpret them: bodies are bytes.
 package store
 
 import (
@@ -44,7 +44,7 @@
 	ErrFull   = errors.New("the journal is full until the next snapshot")
 )
 
-// Store is one process's folder.
+// Store is one process's open folder. It is not safe for concurrent use.
 type Store struct {
 	dir, name  string
 	lock       *os.File
@@ -54,7 +54,7 @@
 	most       [2]int // bytes of a snapshot's body and of a journal
 }
 
-// Read is what a folder had.
+// Read is what a folder held.
 type Read struct {
 	Generation uint64   // 0: nothing whole
 	Body       []byte   // of the newest snapshot that is whole
@@ -65,7 +65,8 @@
 
 var clean = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
-// Open a folder under a name and read what is there. The lock goes with the process, however it ends.
+// Open locks a name in a folder and reads what is there. The lock ends with the process, however it ends. It returns ErrLocked
+// where another process has it.
 func Open(dir, name string) (*Store, Read, error) {
 	if !clean.MatchString(name) {
 		return nil, Read{}, fmt.Errorf("store: %q is no name for files", name)
@@ -91,16 +92,17 @@
 	return s, r, nil
 }
 
-// Bound all files together: the generations that stay and one that is being written, each a snapshot and its journal.
+// Bound bounds the bytes of all files together: the generations that stay and one that is being written, each a snapshot and its
+// journal.
 func (s *Store) Bound(total int) {
 	each := total / (2 * (keeps + 1))
 	s.most = [2]int{min(each, MostBody), min(each, MostJournal)}
 }
 
-// Begun tells whether there is a journal to append to.
+// Begun reports whether there is a journal to append to.
 func (s *Store) Begun() bool { return s.journal != nil }
 
-// Close ends it. What was appended and not synced may be lost.
+// Close unlocks the folder. What was appended and not synced may be lost.
 func (s *Store) Close() error {
 	if s.journal != nil {
 		s.journal.Close()
@@ -113,7 +115,7 @@
 	return filepath.Join(s.dir, fmt.Sprintf("%s.%d.%s", s.name, generation, kind))
 }
 
-// Snapshot writes the next generation: aside, synced, renamed, the folder synced. The journal begins anew.
+// Snapshot writes the next generation to a temporary file, syncs it, renames it and syncs the folder. The journal begins anew.
 func (s *Store) Snapshot(body []byte) error {
 	if len(body) > s.most[0] {
 		return fmt.Errorf("store: a snapshot of %d bytes, %d at most", len(body), s.most[0])
@@ -148,7 +150,8 @@
 	return nil
 }
 
-// Append a record to the journal. It lasts from the next Sync on.
+// Append appends a record to the journal, which is durable after the next Sync. It returns ErrFull until the next snapshot where
+// the journal has no room for it.
 func (s *Store) Append(record []byte) error {
 	switch {
 	case s.journal == nil:
@@ -170,7 +173,7 @@
 	return nil
 }
 
-// Sync makes what was appended last. One call stands for all records since the one before.
+// Sync makes durable what was appended. One call covers all records since the one before.
 func (s *Store) Sync() error {
 	if s.journal == nil {
 		return nil
@@ -181,7 +184,7 @@
 	return nil
 }
 
-// prune what is older than the snapshots that stay. Writes that failed have used up numbers, so they are counted and not reckoned.
+// prune removes what is older than the snapshots that stay. Snapshots are counted, as failed writes leave gaps in the numbers.
 func (s *Store) prune() {
 	all, snaps, oldest := files(s.dir, s.name), 0, uint64(0)
 	for _, f := range all { // newest first
@@ -196,7 +199,7 @@
 	}
 }
 
-// Drop all files of a name but its lock.
+// Drop removes all files of a name but its lock.
 func (s *Store) Drop() error {
 	if s.journal != nil {
 		s.journal.Close()
@@ -238,7 +241,7 @@
 	return all
 }
 
-// Names that a folder has files of.
+// Names returns the names that a folder has files of.
 func Names(dir string) (all []string) {
 	entries, _ := os.ReadDir(dir)
 	form := regexp.MustCompile(`^([A-Za-z0-9][A-Za-z0-9._-]{0,63})\.[0-9]{1,19}\.(snap|log)$`)
@@ -251,7 +254,7 @@
 	return all
 }
 
-// Size of all files of a name, but for its lock.
+// Size returns the number of files of a name and their bytes, without its lock.
 func Size(dir, name string) (count int, bytes int64) {
 	for _, f := range files(dir, name) {
 		if info, err := os.Lstat(filepath.Join(dir, f.name)); err == nil {
@@ -261,7 +264,7 @@
 	return count, bytes
 }
 
-// Load reads a folder that another process may be writing to. newest is the highest generation that any file there bears.
+// Load reads a folder that another process may be writing to. newest is the highest generation of any file there.
 func Load(dir, name string) (r Read, newest uint64, err error) {
 	all := files(dir, name)
 	for _, f := range all {
--- a/internal/thrift/frames.go
+++ b/internal/thrift/frames.go
@@ -1,5 +1,5 @@
-// Package thrift is framed transport and strict binary protocol (Apache Thrift): frames from bytes as they come,
-// a reader over one frame, and what is appended to answer. It knows neither a socket nor a service.
+// Package thrift reads and writes the framed transport and strict binary protocol of Apache Thrift: a splitter of streams into
+// frames, a reader of one frame, and functions that append values. It does no I/O and knows no service.
 package thrift
 
 import (
@@ -7,15 +7,16 @@
 	"fmt"
 )
 
-// MaxFrame bounds what one call may hold: a statement and some fields are far under it.
+// MaxFrame is the longest frame that is accepted, in bytes: a statement and some fields are far shorter.
 const MaxFrame = 128 << 10
 
 var be = binary.BigEndian
 
-// Frames cuts a stream of bytes into frames. It keeps bytes of an unfinished frame only.
+// Frames splits a stream of bytes into frames. It buffers only the bytes of an unfinished one.
 type Frames struct{ kept []byte }
 
-// Feed calls each with every frame that is whole now; the frame is good for that call only.
+// Feed calls each with every frame that is complete now, or returns an error where one is too long. A frame is valid during the
+// call only.
 func (f *Frames) Feed(b []byte, each func(frame []byte) error) error {
 	if len(f.kept) > 0 {
 		f.kept = append(f.kept, b...)
@@ -40,7 +41,7 @@
 	return nil
 }
 
-// Kept is how many bytes of an unfinished frame are held.
+// Kept returns the number of buffered bytes.
 func (f *Frames) Kept() int { return len(f.kept) }
 
 // Type of a value on the wire.
@@ -76,7 +77,7 @@
 
 const strict = 0x80010000
 
-// Reader takes values off a frame. After the first that can't be read all are zero, and Bad is set.
+// Reader reads values from a frame. After the first that can't be read all values are zero and Bad is set.
 type Reader struct {
 	b   []byte
 	Bad bool
@@ -221,7 +222,7 @@
 	return append(be.AppendUint32(b, uint32(len(s))), s...)
 }
 
-// AppendSize is the head of a string whose bytes come after.
+// AppendSize appends the length of a string whose bytes follow.
 func AppendSize(b []byte, n int) []byte { return be.AppendUint32(b, uint32(n)) }
 
 // AppendBool appends a boolean value.
@@ -232,7 +233,7 @@
 	return append(b, 0)
 }
 
-// AppendPairs is a map of strings.
+// AppendPairs appends a map of strings, given as keys and values in turn.
 func AppendPairs(b []byte, pairs ...string) []byte {
 	b = append(b, byte(String), byte(String))
 	b = be.AppendUint32(b, uint32(len(pairs)/2))
