--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -72,7 +72,7 @@
 		var able []lease.Candidate
 		for _, c := range all { // one that has no use for it would let go of it at once
 			if slices.Contains(stands[c.Session], kind) && k.clients[c.Session].wantsWork(name) {
-				c.Works = owns[c.Session]
+				c.Tasks = owns[c.Session]
 				able = append(able, c)
 			}
 		}
