Lists of thousands of databases are taken in in linear time

Cause (seen: bin/duneshow scale datapath, the owner busy 87 to 122 ms with a list of 3,900, growing by the square): pool.merge compared each known database with each listed one (admission/slab.go), Follower.target searched the list for each entry of a notice (internal/discovery/members.go). Both look names up in a set of the list now; what they do, and in which order, is the same.

Both tests fail without their half.

--- /dev/null
+++ b/admission/members_test.go
@@ -0,0 +1,37 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+// TestListsCostTheirLength: a list of eight times the databases is merged in about eight times the time, and not the square of that.
+func TestListsCostTheirLength(t *testing.T) {
+	const few, times, mostTimes = 500, 8, 24
+	small, large := fastestMerge(few), fastestMerge(few*times)
+	t.Logf("%v for %d databases, %v for %d", small, few, large, few*times)
+	if large > mostTimes*small {
+		t.Errorf("%d databases take %v, %d take %v", few, small, few*times, large)
+	}
+}
+
+// fastestMerge is the shortest of some times in which a list that is known comes again, less one database: what else the machine does
+// lengthens them.
+func fastestMerge(databases int) time.Duration {
+	list := make([]Entry, databases)
+	for k := range list {
+		list[k] = Entry{Engine: uint32(k + 1), State: Ready}
+	}
+	p := newPool(1)
+	p.merge(Full, list, func(*engine) {})
+	shortest := time.Hour
+	for range 9 {
+		began := time.Now()
+		p.merge(Full, list[1:], func(*engine) {})
+		shortest = min(shortest, time.Since(began))
+	}
+	if first := p.engines[p.index[1]]; first.State != Gone {
+		return 0
+	}
+	return shortest
+}
--- a/admission/slab.go
+++ b/admission/slab.go
@@ -297,14 +297,8 @@
 
 // merge takes a list event in and calls fresh for each engine that is new or has started anew.
 func (p *pool) merge(scope Scope, list []Entry, fresh func(*engine)) {
-	for k := range p.engines {
-		listed := scope == Delta
-		for _, n := range list {
-			listed = listed || n.Engine == p.engines[k].Engine
-		}
-		if !listed {
-			p.engines[k].State = Gone
-		}
+	if scope != Delta {
+		p.dropUnlisted(list)
 	}
 	for _, n := range list {
 		k, ok := p.index[n.Engine]
@@ -321,6 +315,19 @@
 	}
 }
 
+// dropUnlisted marks what a whole list leaves out as gone. Lists have thousands of engines, so each is looked up once.
+func (p *pool) dropUnlisted(list []Entry) {
+	listed := make(map[uint32]struct{}, len(list))
+	for _, n := range list {
+		listed[n.Engine] = struct{}{}
+	}
+	for k := range p.engines {
+		if _, ok := listed[p.engines[k].Engine]; !ok {
+			p.engines[k].State = Gone
+		}
+	}
+}
+
 // pack writes this router's threads on each ready engine, for the other routers.
 func (p *pool) pack(buf []byte) []byte {
 	buf = buf[:0]
--- /dev/null
+++ b/internal/discovery/linear_test.go
@@ -0,0 +1,54 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestListsCostTheirLength: a list of eight times the databases takes about eight times as long, and not the square of that, also
+// when it comes again with a later number.
+func TestListsCostTheirLength(t *testing.T) {
+	const few, times, mostTimes = 500, 8, 24
+	small, large := fastest(t, few), fastest(t, few*times)
+	t.Logf("%v for %d databases, %v for %d", small, few, large, few*times)
+	if large > mostTimes*small {
+		t.Errorf("%d databases take %v, %d take %v", few, small, few*times, large)
+	}
+}
+
+// fastest is the shortest of some times in which a list that is known is taken in anew: what else the machine does lengthens them.
+func fastest(t *testing.T, databases int) time.Duration {
+	t.Helper()
+	shortest := time.Hour
+	for range 7 {
+		f := New([]string{"hall"}, []string{"std"})
+		for revision := uint32(1); revision <= 2; revision++ {
+			known := listOf(databases, revision)
+			began := time.Now()
+			if fresh, err := f.Start(known); err != nil || !fresh {
+				t.Fatal(fresh, err)
+			}
+			if revision == 2 {
+				shortest = min(shortest, time.Since(began))
+			}
+		}
+		if len(f.List()) != databases {
+			t.Fatalf("%d databases of %d", len(f.List()), databases)
+		}
+	}
+	return shortest
+}
+
+func listOf(databases int, revision uint32) Known {
+	targets := make([]Target, databases)
+	for k := range targets {
+		targets[k] = Target{UID: fmt.Sprint("d-", k), Endpoint: "127.0.0.1:9", Zone: "hall", Kind: "std", State: "ready"}
+	}
+	known := Known{Rev: revision, Notices: []Notice{{Rev: revision}}}
+	known.Notices[0].Pool = &struct {
+		All     bool     `json:"all"`
+		Targets []Target `json:"targets"`
+	}{true, targets}
+	return known
+}
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -73,6 +73,10 @@
 // Start takes in what the configuration holds, in order: the events that are news, or none where one can't be read.
 func (f *Follower) Start(k Known) (fresh bool, err error) {
 	was, list, addrs := f.rev, slices.Clone(f.list), maps.Clone(f.addrs)
+	listed := make(map[uint32]struct{}, len(f.list)) // the engines of f.list
+	for _, e := range f.list {
+		listed[e.Engine] = struct{}{}
+	}
 	for n, event := range k.Notices {
 		if event.Rev <= was && was > 0 {
 			continue
@@ -83,9 +87,10 @@
 		}
 		if event.Pool.All {
 			f.list = f.list[:0]
+			clear(listed)
 		}
 		for _, t := range event.Pool.Targets {
-			if err := f.target(t); err != nil {
+			if err := f.target(t, listed); err != nil {
 				f.rev, f.list, f.addrs = was, list, addrs
 				return false, fmt.Errorf("known: notice %d: %v", n, err)
 			}
@@ -97,14 +102,19 @@
 
 var states = map[string]admission.State{"ready": admission.Ready, "draining": admission.Draining, "gone": admission.Gone}
 
-func (f *Follower) target(t Target) error {
+// target takes in one engine of a notice. Listed are the engines of the list, kept beside it so that a list of thousands is not
+// searched for each.
+func (f *Follower) target(t Target, listed map[uint32]struct{}) error {
 	state, ok := states[t.State]
 	if !ok {
 		return fmt.Errorf("engine %s has state %q", t.UID, t.State)
 	}
 	e := admission.Entry{Engine: f.number(t.UID), Kind: index(f.kinds, t.Kind), Zone: index(f.zones, t.Zone),
 		Cell: t.Cell, Weight: t.Weight, ReadyAt: t.BootMs / 1000, State: state}
-	f.list = slices.DeleteFunc(f.list, func(o admission.Entry) bool { return o.Engine == e.Engine })
+	if _, ok := listed[e.Engine]; ok {
+		f.list = slices.DeleteFunc(f.list, func(o admission.Entry) bool { return o.Engine == e.Engine })
+		delete(listed, e.Engine)
+	}
 	if state == admission.Gone {
 		return nil
 	}
@@ -114,6 +124,7 @@
 	}
 	f.addrs[e.Engine] = addr
 	f.list = append(f.list, e)
+	listed[e.Engine] = struct{}{}
 	return nil
 }
 
