A database's state grows with the routers only where these tell their loads

Measured (TestSilentRoutersTakeNoMemory): 100 databases take the same bytes with 1 and with 1,600 routers; it fails without the change.

--- a/admission/members_test.go
+++ b/admission/members_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"runtime"
 	"testing"
 	"time"
 )
@@ -35,3 +36,23 @@
 	}
 	return shortest
 }
+
+// TestSilentRoutersTakeNoMemory: a database's state does not grow with the number of routers while none of them tells its load.
+func TestSilentRoutersTakeNoMemory(t *testing.T) {
+	list := make([]Entry, 100)
+	for k := range list {
+		list[k] = Entry{Engine: uint32(k + 1), State: Ready}
+	}
+	allocated := func(routers int) uint64 {
+		p := newPool(routers)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		p.merge(Full, list, func(*engine) {})
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	few, many := allocated(1), allocated(1600)
+	if many > few+1024 {
+		t.Errorf("100 databases take %d bytes with one router and %d with 1,600", few, many)
+	}
+}
--- a/admission/slab.go
+++ b/admission/slab.go
@@ -181,7 +181,7 @@
 	trialAt float64   // not before then
 	pause   float64   // between trials
 	cold    window    // usual work sent since its start
-	theirs  []float64 // threads of each other router, as last told by it
+	theirs  []float64 // threads of each other router, as last told by it; nil: none has told any
 	rest    float64   // threads of all others, as the engine's load report implies, and when
 	restAt  float64
 	others  float64 // threads of all others, as far as that is known
@@ -266,7 +266,7 @@
 			continue
 		}
 		for r, at := range p.heard {
-			if now-at < heardFor {
+			if now-at < heardFor && e.theirs != nil {
 				e.others += e.theirs[r]
 			}
 		}
@@ -305,7 +305,7 @@
 		if !ok {
 			k = p.place()
 			p.index[n.Engine] = k
-			p.engines[k] = engine{theirs: make([]float64, len(p.heard)), restAt: math.Inf(-1)}
+			p.engines[k] = engine{restAt: math.Inf(-1)}
 		}
 		e := &p.engines[k]
 		again := !ok || n.ReadyAt != e.ReadyAt
@@ -343,7 +343,11 @@
 // unpack takes what another router packed.
 func (p *pool) unpack(from int, data []byte) {
 	for k := range p.engines {
-		p.engines[k].theirs[from] = 0
+		e := &p.engines[k]
+		if e.theirs == nil { // only where routers talk: a figure for each router and engine is the most that the module keeps
+			e.theirs = make([]float64, len(p.heard))
+		}
+		e.theirs[from] = 0
 	}
 	for ; len(data) >= 6; data = data[6:] {
 		if k, ok := p.index[binary.BigEndian.Uint32(data)]; ok {
