--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -115,6 +115,10 @@
 // takePeak since the last call.
 func (f *controlFleet) takePeak() hollow.Peak {
 	p := f.TakePeak()
+	for p.Processes == 0 { // shorter than from one look at the processes to the next
+		time.Sleep(100 * time.Millisecond)
+		p = f.TakePeak()
+	}
 	f.peak.Raise(p)
 	return p
 }
