--- /dev/null
+++ b/internal/scale/control_test.go
@@ -0,0 +1,37 @@
+package scale
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestVirtualFleet: in a fleet that counts as large every cold database's parts are granted to all, and tasks have owners of their own.
+func TestVirtualFleet(t *testing.T) {
+	const routers = 320
+	rows, err := controlVirtual(routers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		if !row.Holds() {
+			t.Errorf("%s: %v", row.Name, row.Value)
+		}
+		if strings.HasSuffix(row.Name, "that one router owns at most") && row.Value != 1 {
+			t.Errorf("%s: %v", row.Name, row.Value)
+		}
+	}
+}
+
+// TestSnapshotOf: a registry's snapshot grows with sessions and with tasks.
+func TestSnapshotOf(t *testing.T) {
+	size := func(sessions, tasks int) float64 {
+		bytes, _, err := snapshotOf(sessions, tasks)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return bytes
+	}
+	if few, many, owned := size(100, 0), size(200, 0), size(200, 50); few >= many || many >= owned {
+		t.Errorf("%.0f, %.0f and %.0f bytes", few, many, owned)
+	}
+}
