--- a/internal/scale/control_virtual.go
+++ b/internal/scale/control_virtual.go
@@ -31,7 +31,7 @@
 	steps       int
 	coordinator *coordinator.Keeper
 	agents      []*agent.Member
-	demand      agent.Demand
+	demands     []agent.Demand   // by agent
 	requests    []virtualRequest // on their way
 	answers     []virtualAnswer
 	open        map[uint64]virtualRequest // by number, at the coordinator
@@ -53,7 +53,8 @@
 	coordinator.Answer
 }
 
-func newVirtualFleet(routers int) (*virtualFleet, error) {
+// newVirtualFleet of so many routers, each cold database of which is shared by so many members.
+func newVirtualFleet(routers, members int) (*virtualFleet, error) {
 	stored, err := coordinator.Begin([]registry.Keeper{{ID: 1, Name: "c1", Addr: "127.0.0.1:1"}}, controlLease, 0.05)
 	if err != nil {
 		return nil, err
@@ -63,10 +64,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &virtualFleet{coordinator: c, open: map[uint64]virtualRequest{}}
+	f := &virtualFleet{coordinator: c, demands: make([]agent.Demand, routers), open: map[uint64]virtualRequest{}}
 	for n := range routers {
 		f.agents = append(f.agents, agent.New(agent.Config{Name: fmt.Sprint("r", n+1), Zone: fmt.Sprint("z", n%TargetZones+1), Incarnation: uint64(n + 1),
-			Seed: uint64(n + 1), Stands: []string{agent.Warmth}, Members: routers, Window: 1}, agent.Kept{}))
+			Seed: uint64(n + 1), Stands: []string{agent.Warmth}, Members: members, Window: 1}, agent.Kept{}))
 	}
 	return f, nil
 }
@@ -134,7 +135,7 @@
 	}
 	f.answers = f.answers[arrived:]
 	for n := f.steps % agentEvery; n < len(f.agents); n += agentEvery {
-		f.agents[n].Tell(f.now, f.demand)
+		f.agents[n].Tell(f.now, f.demands[n])
 		f.send(n)
 	}
 }
@@ -145,17 +146,25 @@
 	}
 }
 
-// parts is how many granted parts of cold databases a router has in use, on average.
+// chill has a database be cold from now on for the routers that hold it, each of which would use two equal parts.
+func (f *virtualFleet) chill(database int, holders []int) {
+	for _, n := range holders {
+		f.demands[n].Cold = append(f.demands[n].Cold, agent.Cold{Engine: agent.Engine{ID: uint32(database + 1), Start: 1}, Need: 2 / float64(len(holders))})
+	}
+}
+
+// parts is the share of parts, of all cold databases at all routers that hold them, that are granted and in use.
 func (f *virtualFleet) parts() float64 {
-	sum := 0
-	for _, m := range f.agents {
-		for _, c := range f.demand.Cold {
+	granted, all := 0, 0
+	for n, m := range f.agents {
+		for _, c := range f.demands[n].Cold {
+			all++
 			if part, ok := m.Part(f.now, c.ID, c.Start); ok && part > 0 {
-				sum++
+				granted++
 			}
 		}
 	}
-	return float64(sum) / float64(len(f.agents))
+	return float64(granted) / float64(all)
 }
 
 // mostOwned is the most tasks that one router owns.
@@ -166,30 +175,64 @@
 	return most
 }
 
-// controlVirtual carries cold databases on where the machine ends.
+// controlVirtual carries cold databases on where the machine ends: some at all routers, and a zone's that return at once where each
+// router holds a subset.
 func controlVirtual(routers int) (rows []measure.Row, err error) {
+	all := numbers(0, routers-1)
 	for _, cold := range coldCounts[1:] {
-		f, err := newVirtualFleet(routers)
-		if err != nil {
-			return nil, err
+		holders := make([][]int, cold)
+		for n := range holders {
+			holders[n] = all
 		}
-		if err := f.run(virtualOpens); err != nil {
+		more, err := playCold(fmt.Sprintf("virtual time: %d routers, %d cold", routers, cold), routers, holders)
+		if err != nil {
 			return nil, err
 		}
-		for n := range cold {
-			f.demand.Cold = append(f.demand.Cold, agent.Cold{Engine: agent.Engine{ID: uint32(n + 1), Start: 1}, Need: 2 / float64(routers)})
-		}
-		before := f.spent
-		if err := f.run(virtualOpens + virtualCold); err != nil {
-			return nil, err
+		rows = append(rows, more...)
+	}
+	holders := subsetHolders(routers, TargetDatabases*routers/TargetRouters)
+	returning := len(holders) / TargetZones
+	name := fmt.Sprintf("virtual time: %d routers in subsets of %d, a zone's %d databases cold", routers, virtualSubset, returning)
+	more, err := playCold(name, routers, holders[:returning])
+	return append(rows, more...), err
+}
+
+// virtualSubset is how many databases a router holds where there are subsets.
+const virtualSubset = 32
+
+// subsetHolders are, for each database, the routers that hold it: as many for each, spread over the fleet.
+func subsetHolders(routers, databases int) [][]int {
+	each := routers * virtualSubset / databases
+	all := make([][]int, databases)
+	for database := range all {
+		for k := range each {
+			all[database] = append(all[database], (database*each+k*(routers/each+1))%routers)
 		}
-		name := fmt.Sprintf("virtual time: %d routers, %d cold", routers, cold)
-		rows = append(rows,
-			measure.AtLeast(name+": granted parts a router", f.parts(), 0.99*float64(cold)),
-			measure.Figure(name+": tasks that one router owns at most", float64(f.mostOwned())),
-			measure.Figure(name+": letters in one answer at most", float64(f.mostLetters)),
-			measure.Figure(name+": coordinator's decisions, core", (f.spent.coordinator-before.coordinator).Seconds()/virtualCold),
-			measure.Figure(name+": agents' decisions, core of all", (f.spent.agents-before.agents).Seconds()/virtualCold))
-	}
-	return rows, nil
+	}
+	return all
+}
+
+// playCold has databases be cold for the routers that hold them; each is shared by as many.
+func playCold(name string, routers int, holders [][]int) ([]measure.Row, error) {
+	f, err := newVirtualFleet(routers, len(holders[0]))
+	if err != nil {
+		return nil, err
+	}
+	if err := f.run(virtualOpens); err != nil {
+		return nil, err
+	}
+	for database, who := range holders {
+		f.chill(database, who)
+	}
+	before := f.spent
+	if err := f.run(virtualOpens + virtualCold); err != nil {
+		return nil, err
+	}
+	return []measure.Row{
+		measure.AtLeast(name+": granted parts, share", f.parts(), 0.99),
+		measure.Figure(name+": tasks that one router owns at most", float64(f.mostOwned())),
+		measure.Figure(name+": letters in one answer at most", float64(f.mostLetters)),
+		measure.Figure(name+": coordinator's decisions, core", (f.spent.coordinator-before.coordinator).Seconds()/virtualCold),
+		measure.Figure(name+": agents' decisions, core of all", (f.spent.agents-before.agents).Seconds()/virtualCold),
+	}, nil
 }
