--- a/internal/scale/subset.go
+++ b/internal/scale/subset.go
@@ -9,7 +9,6 @@
 	"dunereach/admission"
 	"dunereach/fleet/subset"
 	"dunereach/internal/measure"
-	"dunereach/waittime"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -321,45 +320,29 @@
 		measure.Figure("fit of the bytes: part of the variance", stat.RSquared(counts, bytes, nil, offset, slopeBytes))), nil
 }
 
-// deaf is a host that carries out nothing, and remembers where the last attempt went.
-type deaf struct{ engine uint32 }
-
-func (d *deaf) Send(_, engine uint32, _, _ float64)           { d.engine = engine }
-func (d *deaf) Withdraw(uint32, int)                          {}
-func (d *deaf) Shed(uint32, float64)                          {}
-func (d *deaf) Fail(uint32)                                   {}
-func (d *deaf) Cancel(uint32, int)                            {}
-func (d *deaf) Probe(uint32)                                  {}
-func (d *deaf) Priority(uint32, int, float64)                 {}
-func (d *deaf) Wake(float64, uint64)                          {}
-func (d *deaf) Tell(int, []byte)                              {}
-func (d *deaf) Watch(bool)                                    {}
-func (d *deaf) Log(string)                                    {}
-func (d *deaf) Told(uint32, waittime.Kind, waittime.Estimate) {}
-
 // decisionRows compare a decision of a router that holds a subset of 3,900 databases with one whose pool has the subset's size, and
 // with one that holds them all.
 func decisionRows(sizes []int) (rows []measure.Row, err error) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	for _, size := range sizes {
-		times := decisionTimes(newDecider(size, 1), newDecider(size, float64(size)/TargetDatabases))
+		times := decisionTimes(newSubsetDecider(size, 1), newSubsetDecider(size, float64(size)/TargetDatabases))
 		rows = append(rows, measure.Figure(fmt.Sprintf("a decision in a pool of %d, us", size), times[0]),
 			measure.AtMost(fmt.Sprintf("a decision with %d of %d, by that in a pool of %d", size, TargetDatabases, size), times[1]/times[0], 1.3))
 	}
-	whole := decisionTimes(newDecider(TargetDatabases, 1))
+	whole := decisionTimes(newSubsetDecider(TargetDatabases, 1))
 	return append(rows, measure.Figure(fmt.Sprintf("a decision with all of %d, us", TargetDatabases), whole[0])), nil
 }
 
-// decider is a module with the time that it has been told.
-type decider struct {
-	host *deaf
+// subsetDecider is a module with the time that it has been told.
+type subsetDecider struct {
+	host *deafHost
 	m    *admission.Brain
 	now  float64
 }
 
-func newDecider(held int, part float64) *decider {
-	d := &decider{host: &deaf{}}
+func newSubsetDecider(held int, part float64) *subsetDecider {
+	d := &subsetDecider{host: &deafHost{}}
 	d.m = admission.New(admission.Settings{Seed: 1, Routers: TargetRouters, Tick: 0.005, MaxSends: 4, KindCores: []float64{8},
 		Profiles: []admission.Profile{{Target: 1, Benefit: 1, Threads: 1}}, ColdFrom: 0.35, WarmUp: 10, FallMultiple: 2, FallWindow: 1}, 0, d.host)
 	var list []admission.Entry
@@ -372,12 +355,12 @@
 }
 
 // play has requests come in, go out and be answered.
-func (d *decider) play(requests int) {
+func (d *subsetDecider) play(requests int) {
 	for k := range requests {
 		d.now += 0.001
 		id := uint32(d.now*1000) + 1
 		d.m.Command(d.now, admission.Command{ID: id, Cost: 0.1, TimeLeft: 4})
-		d.m.Outcome(d.now+0.0005, admission.Outcome{ID: id, Engine: d.host.engine, End: admission.Answered, Lag: 0.0005, Work: 0.1, Over: true})
+		d.m.Outcome(d.now+0.0005, admission.Outcome{ID: id, Engine: d.host.database, End: admission.Answered, Lag: 0.0005, Work: 0.1, Over: true})
 		if k%5 == 0 {
 			d.m.Woken(d.now, 0)
 		}
@@ -386,7 +369,7 @@
 
 // decisionTimes are the least of some rounds, in microseconds a request. The rounds take turns, so that other load on the machine
 // meets all alike.
-func decisionTimes(all ...*decider) []float64 {
+func decisionTimes(all ...*subsetDecider) []float64 {
 	const rounds, requests = 15, 400
 	least := slices.Repeat([]float64{math.Inf(1)}, len(all))
 	for range rounds {
