A stall is judged by the servers of the subset that a router holds

With a subset whose servers all drain nothing can be sent, though the list has others: it counted those (seen on reading, joining the parts). TestReadyOfSubset has it.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -429,7 +429,7 @@
 func (s *service) tidy() {
 	s.at(s.clock.now())
 	s.pool.Tidy()
-	s.watchStall(s.list.Ready())
+	s.watchStall(s.readyServers())
 	if s.tidied++; s.tidied%auditEvery == 0 {
 		s.Audit()
 	}
--- a/internal/router/subset.go
+++ b/internal/router/subset.go
@@ -272,3 +272,21 @@
 		s.hold(admission.Full)
 	}
 }
+
+// readyServers counts the ready servers that this router may send to: those of its subset, or of the whole list without one.
+func (s *service) readyServers() int {
+	if s.subset == nil {
+		return s.list.Ready()
+	}
+	return s.subset.ready()
+}
+
+// ready counts the ready servers that are held.
+func (v *subsetView) ready() (n int) {
+	for _, e := range v.held {
+		if e.State == admission.Ready {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/router/subset_test.go
+++ b/internal/router/subset_test.go
@@ -200,3 +200,23 @@
 		t.Errorf("%d held, %d lines", len(v.held), n)
 	}
 }
+
+// TestReadyOfSubset: a router whose subset has no ready server has none to send to, whatever else the list has.
+func TestReadyOfSubset(t *testing.T) {
+	v := newViewed(t, operator.Subset{Size: 4})
+	list := entries(40)
+	v.tell(0, list)
+	if got, held := v.ready(), len(v.held); got != held || held >= len(list) {
+		t.Fatalf("%d ready of %d held of %d", got, held, len(list))
+	}
+	held := numbers(v.held)
+	for k := range list {
+		if slices.Contains(held, list[k].Engine) {
+			list[k].State = admission.Draining
+		}
+	}
+	v.tell(1, list)
+	if got := v.ready(); got != 0 {
+		t.Errorf("%d ready servers in a subset that drains", got)
+	}
+}
