Needs, rankings and the subset section are checked by small functions

Change: needs are gathered by placement, by kind and zone and by what is outside; a ranking finds the best of one need by itself; the subset section's zones and routers are checked apart. Order and texts of errors and the tests' checks are as before.

--- a/fleet/subset/needs.go
+++ b/fleet/subset/needs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 )
 
 // Placement is where the requests of one profile may run: the zones and kinds named, nil for all.
@@ -22,36 +23,58 @@
 // the zones beyond the router's own and beyond its region, which are what it has left when those are lost. A negative zone or an
 // empty region is not known.
 func (s *Shape) Needs(zone int, region []int, least int) []Need {
-	var all []Need
-	add := func(n Need) {
-		n.Least = least
-		for k := range all {
-			if all[k].Outside == n.Outside && reflect.DeepEqual(all[k].Zones, n.Zones) && reflect.DeepEqual(all[k].Kinds, n.Kinds) {
-				return
-			}
+	wanted := append(s.placementNeeds(), s.kindAndZoneNeeds()...)
+	wanted = append(wanted, s.outsideNeeds(zone, region)...)
+	var distinct []Need
+	for _, n := range wanted {
+		if !slices.ContainsFunc(distinct, n.asksTheSame) {
+			n.Least = least
+			distinct = append(distinct, n)
 		}
-		all = append(all, n)
 	}
+	return distinct
+}
+
+// placementNeeds has one need for each placement that is narrower than the pool.
+func (s *Shape) placementNeeds() []Need {
+	var needs []Need
 	for _, p := range s.Placements {
 		if p.Zones != nil || p.Kinds != nil {
-			add(Need{Name: "profile " + p.Name, Zones: p.Zones, Kinds: p.Kinds})
+			needs = append(needs, Need{Name: "profile " + p.Name, Zones: p.Zones, Kinds: p.Kinds})
 		}
 	}
+	return needs
+}
+
+// kindAndZoneNeeds has one need for each kind where there are several, and for each zone where repeats are dropped by zone.
+func (s *Shape) kindAndZoneNeeds() []Need {
+	var needs []Need
 	if s.Kinds > 1 {
 		for kind := range s.Kinds {
-			add(Need{Name: fmt.Sprintf("kind %d", kind), Kinds: []int{kind}})
+			needs = append(needs, Need{Name: fmt.Sprintf("kind %d", kind), Kinds: []int{kind}})
 		}
 	}
 	if s.ByZone && s.Zones > 1 {
 		for z := range s.Zones {
-			add(Need{Name: fmt.Sprintf("zone %d", z), Zones: []int{z}})
+			needs = append(needs, Need{Name: fmt.Sprintf("zone %d", z), Zones: []int{z}})
 		}
 	}
+	return needs
+}
+
+// outsideNeeds are those of the zones beyond the router's own and beyond its region.
+func (s *Shape) outsideNeeds(zone int, region []int) []Need {
+	var needs []Need
 	if s.Zones > 1 && zone >= 0 {
-		add(Need{Name: "other zones", Zones: []int{zone}, Outside: true})
+		needs = append(needs, Need{Name: "other zones", Zones: []int{zone}, Outside: true})
 	}
 	if len(region) > 0 && len(region) < s.Zones {
-		add(Need{Name: "other regions", Zones: region, Outside: true})
+		needs = append(needs, Need{Name: "other regions", Zones: region, Outside: true})
 	}
-	return all
+	return needs
+}
+
+// asksTheSame tells whether two needs cover the same databases, whatever their names.
+func (n Need) asksTheSame(other Need) bool {
+	return n.Outside == other.Outside && reflect.DeepEqual(n.Zones, other.Zones) && reflect.DeepEqual(n.Kinds, other.Kinds)
 }
--- a/fleet/subset/ranking.go
+++ b/fleet/subset/ranking.go
@@ -75,20 +75,7 @@
 func (r *Ranking) markNeeded() {
 	best := make([]int, 0, 8) // places of the best candidates so far, best first
 	for n := range r.options.Needs {
-		need := &r.options.Needs[n]
-		best = best[:0]
-		for k := range r.candidates {
-			if need.Least == 0 || !need.covers(&r.databases[r.candidates[k].index]) {
-				continue
-			}
-			if len(best) == need.Least && r.compare(r.candidates[k], r.candidates[best[len(best)-1]]) > 0 {
-				continue
-			}
-			at, _ := slices.BinarySearchFunc(best, k, func(a, b int) int { return r.compare(r.candidates[a], r.candidates[b]) })
-			if best = slices.Insert(best, at, k); len(best) > need.Least {
-				best = best[:need.Least]
-			}
-		}
+		best = r.bestFor(&r.options.Needs[n], best[:0])
 		for _, k := range best {
 			if c := &r.candidates[k]; c.need == notNeeded {
 				c.need = int16(n)
@@ -98,6 +85,27 @@
 	}
 }
 
+// bestFor appends the places of the best candidates of a need to an empty slice, best first.
+func (r *Ranking) bestFor(need *Need, best []int) []int {
+	if need.Least == 0 {
+		return best
+	}
+	byRank := func(a, b int) int { return r.compare(r.candidates[a], r.candidates[b]) }
+	for k := range r.candidates {
+		if !need.covers(&r.databases[r.candidates[k].index]) {
+			continue
+		}
+		if len(best) == need.Least && byRank(k, best[len(best)-1]) > 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, k, byRank)
+		if best = slices.Insert(best, at, k); len(best) > need.Least {
+			best = best[:need.Least]
+		}
+	}
+	return best
+}
+
 // Len is the number of different databases.
 func (r *Ranking) Len() int { return len(r.candidates) }
 
--- a/fleet/subset/subset_test.go
+++ b/fleet/subset/subset_test.go
@@ -325,6 +325,27 @@
 	return left, entered
 }
 
+// needsMet checks that a choice has the minimum of each need, or all that there are.
+func (d *drawn) needsMet(t *rapid.T, c Choice) {
+	for n := range d.options.Needs {
+		need := &d.options.Needs[n]
+		has, there := 0, 0
+		for _, m := range c.Members {
+			if need.covers(&d.databases[m.Index]) {
+				has++
+			}
+		}
+		for i := range d.databases {
+			if need.covers(&d.databases[i]) {
+				there++
+			}
+		}
+		if has < min(need.Least, there) {
+			t.Fatalf("need %d has %d of %d", n, has, min(need.Least, there))
+		}
+	}
+}
+
 // TestNeedsAreMet: each need has its minimum, or all that there are; a subset that grows for it says so; wider ones hold narrower.
 func TestNeedsAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -333,23 +354,7 @@
 		narrower := []string{}
 		for _, width := range []int{1, 2, 4} {
 			c := ranking.Take(width)
-			for n := range d.options.Needs {
-				need := &d.options.Needs[n]
-				has, there := 0, 0
-				for _, m := range c.Members {
-					if need.covers(&d.databases[m.Index]) {
-						has++
-					}
-				}
-				for i := range d.databases {
-					if need.covers(&d.databases[i]) {
-						there++
-					}
-				}
-				if has < min(need.Least, there) {
-					t.Fatalf("need %d has %d of %d", n, has, min(need.Least, there))
-				}
-			}
+			d.needsMet(t, c)
 			size := min(ranking.Size(width), len(d.databases))
 			if len(c.Members) < size {
 				t.Fatalf("%d places, the size is %d", len(c.Members), size)
--- a/internal/operator/subset.go
+++ b/internal/operator/subset.go
@@ -122,6 +122,18 @@
 	if s == nil {
 		return nil
 	}
+	if err := s.checkZones(zones); err != nil {
+		return err
+	}
+	o := f.SubsetOptions(1, 1)
+	if err := o.Check(); err != nil {
+		return fmt.Errorf("/subset/%v", err)
+	}
+	return s.checkRouters(zones)
+}
+
+// checkZones tells whether regions and weights name the settings' zones, and the weights all of them.
+func (s *Subset) checkZones(zones []string) error {
 	for region, names := range s.Regions {
 		for k, name := range names {
 			if !slices.Contains(zones, name) {
@@ -142,10 +154,11 @@
 			return fmt.Errorf("/subset/zones: zone %q of the settings is missing", name)
 		}
 	}
-	o := f.SubsetOptions(1, 1)
-	if err := o.Check(); err != nil {
-		return fmt.Errorf("/subset/%v", err)
-	}
+	return nil
+}
+
+// checkRouters tells whether names and places of the listed routers are distinct, and their zones the settings'.
+func (s *Subset) checkRouters(zones []string) error {
 	names, places := map[string]int{}, map[int]int{}
 	for k, r := range s.Routers {
 		if first, twice := names[r.Name]; twice {
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -14,8 +14,7 @@
 // busy is a hall whose owner has been kept from its connections for 0.2 s when its test goes on: what came meanwhile has waited.
 type busy struct {
 	*hall
-	client  *fake.Client
-	fetches []fake.Said // running requests
+	client *fake.Client
 }
 
 const busyFor = 200 * time.Millisecond
--- a/internal/router/stalled_test.go
+++ b/internal/router/stalled_test.go
@@ -9,6 +9,22 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
+// stalledFor20 is a router with one client's request, watched each second for 20 s, and what it has logged.
+func stalledFor20(servers int, held bool) (*stage, *observer.ObservedLogs) {
+	core, lines := observer.New(zap.InfoLevel)
+	s := newStage(9)
+	s.log = zap.New(core)
+	if held { // the module knows of no server that is ready, whatever the list says
+		s.Members(0, admission.Full, nil, func() {})
+	}
+	s.take(1, 60, "SELECT 1")
+	for now := range 20 {
+		s.at(float64(now))
+		s.watchStall(servers)
+	}
+	return s, lines
+}
+
 // TestStallIsSaid: a router that is ready and has servers and a waiting client, and sends nothing, says so once; none does for whose
 // requests there is no server, or whose attempt is out.
 func TestStallIsSaid(t *testing.T) {
@@ -19,17 +35,7 @@
 		lines   int
 	}{{"nothing is sent", 1, true, 1}, {"no server is ready", 0, true, 0}, {"an attempt is out", 1, false, 0}} {
 		t.Run(c.name, func(t *testing.T) {
-			core, lines := observer.New(zap.InfoLevel)
-			s := newStage(9)
-			s.log = zap.New(core)
-			if c.held { // the module knows of no server that is ready, whatever the list says
-				s.Members(0, admission.Full, nil, func() {})
-			}
-			s.take(1, 60, "SELECT 1")
-			for now := range 20 {
-				s.at(float64(now))
-				s.watchStall(c.servers)
-			}
+			s, lines := stalledFor20(c.servers, c.held)
 			if n := lines.FilterMessage("clients wait and nothing is sent").Len(); n != c.lines {
 				t.Errorf("%d lines, want %d", n, c.lines)
 			}
