--- a/cmd/dunereach/crowd_test.go
+++ b/cmd/dunereach/crowd_test.go
@@ -18,6 +18,27 @@
 	return shell
 }
 
+// running has so many requests of a client at the server, none of which it has answered.
+func (w *town) running(client *fake.Client, requests int) (open []fake.Said) {
+	w.t.Helper()
+	for range requests {
+		w.call(client, "lookup", 30000, "SELECT 1")
+		open = append(open, w.hear("fetch"))
+	}
+	return open
+}
+
+// completed has the server answer the running requests one by one, and each answer reach its client.
+func (w *town) completed(client *fake.Client, open []fake.Said) {
+	w.t.Helper()
+	for _, s := range open {
+		s.Answer("served", "count=1", "x\t\t\n")
+		if got := client.Next(); !strings.Contains(got, " 0={") {
+			w.t.Errorf("a running request got %q", got)
+		}
+	}
+}
+
 // TestCrowdWhileListIsDown: idle clients fill the descriptors while the name server says nothing, under the settings' limit or a lower
 // one of the system. Requests that need a connection to a server each are served, so are new clients, a new configuration is read, and
 // the list is heard within a second of the name server's return.
@@ -33,23 +54,18 @@
 			w.names.Down(true)
 			w.start()
 			w.logged("serving")
-			var crowd []*fake.Client
-			for k := range 2 * descriptors {
+			for k := range 2 * descriptors { // idle clients, which stay until the test's end
 				idle := fake.NewClient(t, w.addr)
-				if crowd = append(crowd, idle); k%2 == 0 {
+				if k%2 == 0 {
 					idle.AskHealth()
 				}
 			}
 			w.logged("the name server does not answer")
 			const running = 12 // a connection to the server each
 			client := fake.NewClient(t, w.addr)
-			var open []fake.Said
-			for range running {
-				w.call(client, "lookup", 30000, "SELECT 1")
-				open = append(open, w.hear("fetch"))
-			}
+			open := w.running(client, running)
 			for range 2 * descriptors { // anew, up to the brim
-				crowd = append(crowd, fake.NewClient(t, w.addr))
+				fake.NewClient(t, w.addr)
 			}
 			w.cmd.Process.Signal(syscall.SIGHUP)
 			w.logged(`"msg":"new configuration"`)
@@ -61,12 +77,7 @@
 				t.Errorf("the list was heard after %v", took)
 			}
 			w.serve(fake.NewClient(t, w.addr), "lookup")
-			for _, s := range open {
-				s.Answer("served", "count=1", "x\t\t\n")
-				if got := client.Next(); !strings.Contains(got, " 0={") {
-					t.Errorf("a running request got %q", got)
-				}
-			}
+			w.completed(client, open)
 		})
 	}
 }
--- a/cmd/dunereach/flood_test.go
+++ b/cmd/dunereach/flood_test.go
@@ -11,6 +11,23 @@
 	"dunereach/internal/fake"
 )
 
+// calledUntil has a client ask for one request after another until it is over: how many were served, and how long each answer took.
+func calledUntil(over <-chan struct{}, c *fake.Client, fields func(j int) []string) (served int, took []time.Duration) {
+	for j := 0; ; j++ {
+		from := time.Now()
+		c.Call("SELECT 1", fields(j)...)
+		if got := c.Next(); strings.Contains(got, " 0={") {
+			served++
+		}
+		took = append(took, time.Since(from))
+		select {
+		case <-over:
+			return served, took
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // TestFloods: clients that send much at once and go, that send a byte at a time, that never read, and that say nothing don't hold
 // up the others: each of their commands has its answer soon.
 func TestFloods(t *testing.T) {
@@ -54,21 +71,7 @@
 	over := make(chan struct{})
 	go func() { group.Wait(); close(over) }()
 	c := fake.NewClient(t, w.addr)
-	var took []time.Duration
-	served := 0
-	for floods, j := true, 0; floods; j++ {
-		from := time.Now()
-		c.Call("SELECT 1", fields(ref(0, j))...)
-		if got := c.Next(); strings.Contains(got, " 0={") {
-			served++
-		}
-		took = append(took, time.Since(from))
-		select {
-		case <-over:
-			floods = false
-		case <-time.After(time.Millisecond):
-		}
-	}
+	served, took := calledUntil(over, c, func(j int) []string { return fields(ref(0, j)) })
 	slices.Sort(took)
 	n := len(took)
 	t.Logf("%d of %d served, after %v in the median and %v at most", served, n, took[n/2], took[n-1])
--- a/cmd/dunereach/forms_test.go
+++ b/cmd/dunereach/forms_test.go
@@ -38,6 +38,15 @@
 	return b
 }
 
+// rawInPieces has a client write a text in pieces of so many bytes.
+func rawInPieces(c *fake.Client, text []byte, piece int) {
+	for len(text) > 0 {
+		n := min(piece, len(text))
+		c.Raw(text[:n])
+		text = text[n:]
+	}
+}
+
 // TestForms: requests in every form that the protocol allows are served as they are in the usual one, whole or in pieces of whatever
 // size, and several in one piece.
 func TestForms(t *testing.T) {
@@ -71,12 +80,7 @@
 		for _, piece := range []int{1, 2, 5, 64, 1 << 20} {
 			t.Run(fmt.Sprintf("%s in pieces of %d", name, piece), func(t *testing.T) {
 				c := fake.NewClient(t, w.addr)
-				text := message(thrift.Call, "call", 1, form)
-				for len(text) > 0 {
-					n := min(piece, len(text))
-					c.Raw(text[:n])
-					text = text[n:]
-				}
+				rawInPieces(c, message(thrift.Call, "call", 1, form), piece)
 				s := w.hear("fetch")
 				if s.Body != body {
 					t.Errorf("the server got %q", s.Body)
--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -232,10 +232,7 @@
 		k.answer(w.request, nil, registry.ErrSuperseded)
 		return
 	}
-	if c == nil {
-		c = &client{name: s.Name, incarnation: s.Incarnation}
-		k.clients[s.ID] = c
-	}
+	c = k.clientOf(s)
 	if c.ending {
 		k.answer(w.request, nil, ErrSession)
 		return
@@ -248,14 +245,7 @@
 		c.heard = max(c.heard, w.at)
 	}
 	k.stand(c, b.Stands)
-	c.wants = b.Wants
-	for _, x := range b.Wants {
-		since := k.now
-		if w, ok := k.wanted[x.Work]; ok && k.now-w.at <= keepWant {
-			since = w.since
-		}
-		k.wanted[x.Work] = want{x.Zone, since, k.now}
-	}
+	k.want(c, b.Wants)
 	if c.held != nil { // it asks anew, so it waits for that no more
 		k.show(s.ID, c)
 	}
@@ -267,6 +257,28 @@
 	k.look(s.ID, c)
 }
 
+// clientOf is what is known of a session beside the registry, from its first heartbeat here on.
+func (k *Keeper) clientOf(s *registry.Session) *client {
+	c := k.clients[s.ID]
+	if c == nil {
+		c = &client{name: s.Name, incarnation: s.Incarnation}
+		k.clients[s.ID] = c
+	}
+	return c
+}
+
+// want notes the tasks that a session wants to exist, and since when each has been wanted without a pause.
+func (k *Keeper) want(c *client, wants []Want) {
+	c.wants = wants
+	for _, x := range wants {
+		since := k.now
+		if w, ok := k.wanted[x.Work]; ok && k.now-w.at <= keepWant {
+			since = w.since
+		}
+		k.wanted[x.Work] = want{x.Zone, since, k.now}
+	}
+}
+
 // stand notes the kinds of work that a session would own.
 func (k *Keeper) stand(c *client, kinds []string) {
 	if slices.Equal(c.stands, kinds) {
--- a/fleet/registry/record_test.go
+++ b/fleet/registry/record_test.go
@@ -50,22 +50,8 @@
 					t.Fatalf("%q was session %d's", e.Work, owner[e.Work])
 				}
 			}
-			owned := 0
-			for _, s := range a.Sessions() {
-				for _, w := range a.Owned(s.ID) {
-					owned++
-					if w.Owner != s.ID || a.Work(w.Name) != w {
-						t.Fatalf("%q is listed as session %d's: %+v", w.Name, s.ID, w)
-					}
-				}
-			}
+			checkOwners(t, a)
 			for _, w := range a.Works() {
-				if w.Owner != 0 {
-					owned--
-				}
-				if w.Owner != 0 && a.Session(w.Owner) == nil {
-					t.Fatalf("%q is owned by no session", w.Name)
-				}
 				if was := owner[w.Name]; was != 0 && w.Owner != was && e.Kind != Close && e.Kind != Release {
 					t.Fatalf("%v took %q from its owner", e.Kind, w.Name)
 				}
@@ -79,23 +65,49 @@
 					t.Fatal(err)
 				}
 			}
-			if owned != 0 {
-				t.Fatalf("%d tasks more have owners than owners have tasks", -owned)
-			}
-			for _, s := range a.Sessions() {
-				if x, y := a.Owned(s.ID), b.Owned(s.ID); len(x) != len(y) {
-					t.Fatalf("session %d owns %d tasks, %d over snapshots", s.ID, len(x), len(y))
-				}
-			}
-			x, _ := a.Snapshot()
-			y, _ := b.Snapshot()
-			if !bytes.Equal(x, y) {
-				t.Fatalf("records differ after %+v", e)
-			}
+			checkSame(t, a, b, e)
 		}
 	})
 }
 
+// checkOwners checks that each task that is owned has a session as its owner, and that sessions list just the tasks that they own.
+func checkOwners(t *rapid.T, r *Record) {
+	owned := 0
+	for _, s := range r.Sessions() {
+		for _, w := range r.Owned(s.ID) {
+			owned++
+			if w.Owner != s.ID || r.Work(w.Name) != w {
+				t.Fatalf("%q is listed as session %d's: %+v", w.Name, s.ID, w)
+			}
+		}
+	}
+	for _, w := range r.Works() {
+		if w.Owner != 0 {
+			owned--
+		}
+		if w.Owner != 0 && r.Session(w.Owner) == nil {
+			t.Fatalf("%q is owned by no session", w.Name)
+		}
+	}
+	if owned != 0 {
+		t.Fatalf("%d tasks more have owners than owners have tasks", -owned)
+	}
+}
+
+// checkSame checks that two registries are the same after an entry, one of which may have been restored from its snapshots.
+func checkSame(t *rapid.T, a, b *Record, e Entry) {
+	for _, s := range a.Sessions() {
+		if x, y := a.Owned(s.ID), b.Owned(s.ID); len(x) != len(y) {
+			t.Fatalf("session %d owns %d tasks, %d over snapshots", s.ID, len(x), len(y))
+		}
+	}
+	x, _ := a.Snapshot()
+	y, _ := b.Snapshot()
+	if !bytes.Equal(x, y) {
+		t.Fatalf("records differ after %+v", e)
+	}
+}
+
 // TestBounds: what is too much is refused, and what is there stays; names and notes at their bounds keep the snapshot under its own.
 func TestBounds(t *testing.T) {
 	r := New()
