--- a/emulator/zones/zones.go
+++ b/emulator/zones/zones.go
@@ -14,6 +14,7 @@
 // Rule is how routers choose zones.
 type Rule int
 
+// The rules.
 const (
 	Planned  Rule = iota // by the fleet's plan
 	Local                // today's: each leans to its own zone, and finds out alone what does not answer
@@ -45,6 +46,7 @@
 // Kind of a fault.
 type Kind int
 
+// The kinds of faults.
 const (
 	Power      Kind = iota // engines and routers of a zone are gone
 	Engines                // its engines are
@@ -80,7 +82,6 @@
 	cores        float64
 	goneAt       float64 // since when its engines were last gone
 	backAt       float64
-	load         float64
 	offered      [11]float64 // of the last steps
 	pushed       float64     // seconds that it was offered too much by what came from elsewhere
 	steady       float64     // what it could do a moment ago
--- a/fleet/agent/answers.go
+++ b/fleet/agent/answers.go
@@ -14,7 +14,7 @@
 	"dunereach/probing"
 )
 
-// Errors that a driver gives for a request that got no answer.
+// ErrNoAnswer is what a driver gives for a request that no coordinator answered.
 var ErrNoAnswer = errors.New("no keeper answers")
 
 // Answer to a request; value is a keeping.View or keeping.Posted.
--- a/fleet/agent/finder.go
+++ b/fleet/agent/finder.go
@@ -29,7 +29,7 @@
 	f.Failed(asked)
 }
 
-// Failed: the one asked did not answer.
+// Failed notes that the coordinator asked did not answer.
 func (f *Finder) Failed(asked string) {
 	if f.hint != "" {
 		if f.hint == asked {
--- a/fleet/agent/member.go
+++ b/fleet/agent/member.go
@@ -62,7 +62,7 @@
 	At, Until float64
 }
 
-// Engine's one start.
+// Engine is one start of a server.
 type Engine struct {
 	ID    uint32
 	Start float64
@@ -502,16 +502,19 @@
 
 // ---- what keepers answer
 
-// Held is the works that are ours, by the record; May is whether we would act on one now.
+// Held gives the tasks that this member owns, by the registry.
 func (m *Member) Held() []lease.Claim { return m.owner.Held() }
 
+// May tells whether this member may act on a task now, and under which fence.
 func (m *Member) May(now float64, work string) (fence uint64, ok bool) {
 	return m.owner.Permit(now, work, 0)
 }
 
-// Session that we have, 0: none; Fleet is how many there are.
+// Session is the number of this member's session, 0: none.
 func (m *Member) Session() uint64 { return m.session }
-func (m *Member) Fleet() int      { return m.fleet }
+
+// Fleet is how many sessions there are.
+func (m *Member) Fleet() int { return m.fleet }
 
 // Live is what the owner of a whole has dealt and what may still be in use of it, 0 where it isn't ours.
 func (m *Member) Live(now float64, work string) float64 {
--- a/fleet/failover/evidence.go
+++ b/fleet/failover/evidence.go
@@ -84,6 +84,7 @@
 // Verdict on a zone.
 type Verdict uint8
 
+// The verdicts on a zone.
 const (
 	Unknown    Verdict = iota // nobody sends there
 	Well                      //
--- a/fleet/failover/steps.go
+++ b/fleet/failover/steps.go
@@ -16,7 +16,7 @@
 	MostMove float64     // share of the fleet's work that may be moved away from its zones in a minute, 0: three quarters; only an operator lifts it
 }
 
-// Standard life of a plan: three of the reports that confirm it.
+// Life is the standard life of a plan in seconds: three of the reports that confirm it.
 const Life = 3.0
 
 // Orders are an operator's words, agreed like plans.
--- a/fleet/registry/entry.go
+++ b/fleet/registry/entry.go
@@ -16,6 +16,7 @@
 // Kind of an entry. Numbers are for good: agreed entries lie on disks.
 type Kind uint8
 
+// The kinds of entries, each with the fields that it uses.
 const (
 	Nothing Kind = iota
 	Open         // Name, Incarnation, Zone, Region: a process takes part
@@ -59,7 +60,7 @@
 	Started     bool   `cbor:"14,keyasint,omitempty"`
 }
 
-// ErrUnknown: a newer program wrote it.
+// ErrUnknown is the error of an entry that a newer version of the program wrote.
 var ErrUnknown = errors.New("an entry of a newer version")
 
 // Check tells whether the entry may be agreed on. It is called before it is proposed, so that what nobody can read never
--- a/internal/agentdriver/link.go
+++ b/internal/agentdriver/link.go
@@ -275,18 +275,22 @@
 
 // What the module asks, by the router's clock.
 
+// Part is this router's share of a server's budget, where the fleet has granted one.
 func (l *Link) Part(now float64, engine uint32, start float64) (float64, bool) {
 	return l.M.Part(now+l.ahead, engine, start)
 }
 
+// Quota is this router's share of a tenant's quota, where the fleet has granted one.
 func (l *Link) Quota(now float64, tenant int) (float64, bool) {
 	return l.M.Quota(now+l.ahead, tenant)
 }
 
+// TrialAt is when this router may probe a suspected server, given the time that it would choose alone.
 func (l *Link) TrialAt(now float64, engine uint32, start, own float64) float64 {
 	return l.M.TrialAt(now+l.ahead, engine, start, own+l.ahead) - l.ahead
 }
 
+// Tried takes the result of a probe of a suspected server.
 func (l *Link) Tried(now float64, engine uint32, start float64, well bool) {
 	l.M.Tried(now+l.ahead, engine, start, well)
 }
--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -114,6 +114,7 @@
 	halfAt  float64 // an answer that is not whole yet was begun then, 0: none
 }
 
+// New makes a pool without servers; dial begins a connection to one.
 func New(owner Owner, limits Limits, dial func(netip.AddrPort, transport.Sink) Line) *Pool {
 	return &Pool{owner: owner, limits: limits, dial: dial, engines: map[uint32]*engine{}}
 }
--- a/internal/coordserver/store.go
+++ b/internal/coordserver/store.go
@@ -50,7 +50,7 @@
 
 const format = "dunekeep 1"
 
-// ErrEmpty: the folder has no record.
+// ErrEmpty is the error of a folder that holds no registry.
 var ErrEmpty = errors.New("the folder holds no record: `dunekeep init` begins one, `dunekeep join` takes the place of a keeper that was lost")
 
 // Create a folder for a new keeper.
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -65,6 +65,7 @@
 	next         int
 }
 
+// New makes a follower that knows no list yet; zones and kinds are the settings' names in their order.
 func New(zones, kinds []string) *Follower {
 	return &Follower{zones: zones, kinds: kinds, numbers: map[string]uint32{}, names: map[uint32]string{},
 		addrs: map[uint32]netip.AddrPort{}}
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -79,6 +79,7 @@
 	return &Session{desk: desk, scratch: scratch, open: map[int32]uint32{}}
 }
 
+// Up is called once the connection is established. Nothing is to be done then.
 func (s *Session) Up() {}
 
 // Feed takes bytes as they come. Once the close is decided nothing more is taken: its answer would never leave.
@@ -116,7 +117,7 @@
 	}
 }
 
-// Ended: a client that has closed its side may still read; one whose connection is gone has left.
+// Ended takes the end of a connection: a client that has closed its side may still read, one whose connection is gone has left.
 func (s *Session) Ended(how transport.Ending) {
 	if how == transport.Finished {
 		s.half = true
--- a/internal/router/knows.go
+++ b/internal/router/knows.go
@@ -35,6 +35,7 @@
 	return q
 }
 
+// Slow gives what is saved seldom, since it changes slowly: the profiles and the distributions of their waits.
 func (r *Router) Slow() (profiles []warmstart.Profile, all []warmstart.Wait) {
 	profiles = r.mind.Knows().Profiles
 	book := r.set.Brain.Waits
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -179,6 +179,7 @@
 
 // The desk of the front.
 
+// Ready tells whether the router takes new requests: it has a list of servers and has not been asked to end.
 func (r *Router) Ready() bool { return r.listed && !r.ending }
 
 // Take takes a command in, unless it can't be one.
@@ -248,7 +249,7 @@
 	return h | 1 // 0 is none
 }
 
-// Left: nobody waits for this command any more.
+// Left ends a request whose client no longer waits for it.
 func (r *Router) Left(id uint32) {
 	if c := r.cmds[id]; c != nil && !c.over() {
 		r.over(c)
@@ -257,7 +258,7 @@
 	}
 }
 
-// HalfClosed: the client has said its last, and may be gone or may still read.
+// HalfClosed notes that a client has closed its sending side: it may be gone or may still read.
 func (r *Router) HalfClosed(id uint32) {
 	if c := r.cmds[id]; c != nil && !c.over() {
 		r.mind.HalfClosed(r.now, id)
@@ -270,6 +271,7 @@
 	return bytes <= 0 || r.halves <= r.budget/2
 }
 
+// Bad logs that what a client sent can not be read; its connection is being closed.
 func (r *Router) Bad(how string) {
 	r.log.Warn("client can't be read", zap.String("why", how))
 }
@@ -298,6 +300,7 @@
 
 // What engines tell.
 
+// Ended takes the end of an attempt: a client that still waits gets the answer, and the module the outcome.
 func (r *Router) Ended(j *backends.Job, end admission.End) {
 	c := r.cmds[j.ID]
 	if end == admission.Answered && !c.over() {
@@ -312,16 +315,20 @@
 	r.release(c)
 }
 
+// Noted passes on what a server tells of a running attempt.
 func (r *Router) Noted(j *backends.Job, kind admission.NoteKind, value float64) {
 	r.mind.Note(r.now, admission.Note{ID: j.ID, Engine: j.Engine, Send: j.Number, Kind: kind, Value: value})
 }
 
+// Lost logs that a connection to a server has ended.
 func (r *Router) Lost(engine uint32, how transport.Ending) {
 	r.log.Info("connection lost", zap.String("engine", r.names(engine)), zap.Stringer("how", how))
 }
 
 // What the module asks for (brain.Host). Nothing here calls it back.
 
+// Send begins an attempt of a request at a server. It ends by itself after limit seconds, 0: no limit, and at the latest when the
+// client's time is over; by is the latest time at which it may leave, 0: any.
 func (r *Router) Send(id, engine uint32, limit, by float64) {
 	c := r.cmds[id]
 	until := c.dueBy // longer than the client waits is trimmed to that
@@ -340,6 +347,7 @@
 	}
 }
 
+// Shed rejects a request; its client is told to pause for so many seconds.
 func (r *Router) Shed(id uint32, pause float64) {
 	if c := r.cmds[id]; !c.over() {
 		if c.job.Number < 0 {
@@ -351,6 +359,7 @@
 	}
 }
 
+// Fail tells a request's client that it has failed.
 func (r *Router) Fail(id uint32) {
 	if c := r.cmds[id]; !c.over() {
 		c.client.Failed(c.seq)
@@ -359,18 +368,21 @@
 	}
 }
 
+// Cancel stops waiting for an attempt of a request, if it is the latest one.
 func (r *Router) Cancel(id uint32, send int) {
 	if c := r.cmds[id]; c != nil && c.job.Number == send {
 		r.pool.GiveUp(&c.job, admission.Cancelled)
 	}
 }
 
+// Withdraw ends an attempt of which nothing has left yet, if it is the latest one; any other goes on.
 func (r *Router) Withdraw(id uint32, send int) {
 	if c := r.cmds[id]; c != nil && c.job.Number == send {
 		r.pool.Withdraw(&c.job)
 	}
 }
 
+// Priority changes the priority at which a request runs.
 func (r *Router) Priority(id uint32, level int, _ float64) {
 	if c := r.cmds[id]; c != nil && c.job.Level != level {
 		c.job.Level = level
@@ -378,6 +390,7 @@
 	}
 }
 
+// Wake has the module called with the token in so many seconds.
 func (r *Router) Wake(after float64, token uint64) {
 	r.timers.push(timer{at: r.now + max(after, 0), what: wake, token: token})
 }
@@ -385,10 +398,16 @@
 // These come only where the settings, as New leaves them, have probes, other routers to talk to or a list that
 // must be asked for.
 
-func (r *Router) Probe(uint32)     {}
+// Probe is not called: no probes are set up.
+func (r *Router) Probe(uint32) {}
+
+// Tell is not called: there are no other routers to talk to.
 func (r *Router) Tell(int, []byte) {}
-func (r *Router) Watch(bool)       {}
 
+// Watch is not called: the list is asked for at fixed times.
+func (r *Router) Watch(bool) {}
+
+// Told notes how long a request is expected to take; its client learns of it with what ends the request.
 func (r *Router) Told(id uint32, k waittime.Kind, e waittime.Estimate) {
 	if c := r.cmds[id]; c != nil && k != waittime.Start { // clients are told of answers and returns
 		c.told.P50, c.told.P90 = e.P50, e.P90
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -18,6 +18,7 @@
 // Ending is how a connection came to its end.
 type Ending uint8
 
+// The ways in which a connection ends.
 const (
 	Refused  Ending = iota // nobody listens there
 	NeverUp                // not established in time, or not to be had
