--- a/fleet/agent/answers.go
+++ b/fleet/agent/answers.go
@@ -103,22 +103,12 @@
 	}
 	if v.Number <= m.got { // it was written before one that has come already
 		m.owner.Confirmed(s.at, v.Number, v.Session, nil)
-		for _, l := range v.Mail {
-			m.letter(now, l)
-		}
+		m.mail(now, v.Mail)
 		return
 	}
 	m.Stats.Confirmed++
 	m.fleet = v.Sessions
 	m.highest = max(m.highest, v.Fence)
-	had := map[string]uint64{}
-	for _, c := range m.owner.Held() {
-		had[c.Work] = c.Fence
-	}
-	claims := make([]lease.Claim, 0, len(v.Mine))
-	for _, x := range v.Mine {
-		claims = append(claims, x.Claim)
-	}
 	if m.session != v.Session {
 		m.session = v.Session
 		if !m.cfg.Clean { // a process of this name before us may have pledged until now
@@ -128,19 +118,7 @@
 		}
 	}
 	m.got = v.Number
-	for _, c := range m.owner.Confirmed(s.at, v.Number, v.Session, claims) {
-		m.Stats.Lost++
-		m.log("work %q fence %d: it is not ours any more", c.Work, c.Fence)
-		if w := m.wholes[c.Work]; w != nil && w.dealer != nil && w.dealer.Fence() == c.Fence {
-			w.dealer = nil
-		}
-	}
-	for _, c := range m.owner.Held() {
-		if had[c.Work] != c.Fence {
-			m.Stats.Gained++
-			m.log("work %q fence %d: ours", c.Work, c.Fence)
-		}
-	}
+	m.confirm(s, v)
 	for _, x := range v.Mine {
 		if x.Asked {
 			m.letGo(now, x.Work)
@@ -156,11 +134,41 @@
 			m.book.Receive(now, x.By, f, x.Age+now-s.at)
 		}
 	}
-	for _, l := range v.Mail {
+	m.mail(now, v.Mail)
+}
+
+// mail takes messages one by one.
+func (m *Member) mail(now float64, letters []coordinator.Letter) {
+	for _, l := range letters {
 		m.letter(now, l)
 	}
 }
 
+// confirm takes the tasks that a snapshot of state says this member owns: which are gained, and which are lost.
+func (m *Member) confirm(s sent, v coordinator.View) {
+	had := map[string]uint64{}
+	for _, c := range m.owner.Held() {
+		had[c.Work] = c.Fence
+	}
+	claims := make([]lease.Claim, 0, len(v.Mine))
+	for _, x := range v.Mine {
+		claims = append(claims, x.Claim)
+	}
+	for _, c := range m.owner.Confirmed(s.at, v.Number, v.Session, claims) {
+		m.Stats.Lost++
+		m.log("work %q fence %d: it is not ours any more", c.Work, c.Fence)
+		if w := m.wholes[c.Work]; w != nil && w.dealer != nil && w.dealer.Fence() == c.Fence {
+			w.dealer = nil
+		}
+	}
+	for _, c := range m.owner.Held() {
+		if had[c.Work] != c.Fence {
+			m.Stats.Gained++
+			m.log("work %q fence %d: ours", c.Work, c.Fence)
+		}
+	}
+}
+
 func (m *Member) releasing(work string) bool {
 	for _, s := range m.sent {
 		if s.work == work && !s.note {
--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -352,11 +352,7 @@
 		if k.now-last <= duration {
 			continue
 		}
-		if c == nil {
-			c = &client{name: s.Name, incarnation: s.Incarnation}
-			k.clients[s.ID] = c
-		}
-		c.ending = true
+		k.clientOf(s).ending = true
 		for _, w := range k.rec.Works() {
 			if w.Owner == s.ID {
 				k.passing.Lost(k.now, s.Name)
--- a/internal/coordserver/store.go
+++ b/internal/coordserver/store.go
@@ -182,26 +182,12 @@
 			if k.Compact > 0 {
 				upTo = k.Compact
 			}
-			c := log.Cursor()
-			for key, _ := c.First(); key != nil && binary.BigEndian.Uint64(key) <= upTo; key, _ = c.First() {
-				if err := c.Delete(); err != nil {
-					return err
-				}
+			if err := deleteUpTo(log, upTo); err != nil {
+				return err
 			}
 		}
-		if len(k.Entries) > 0 { // what stood there from the first on was never agreed
-			first := k.Entries[0].GetIndex()
-			c := log.Cursor()
-			for key, _ := c.Seek(index(first)); key != nil; key, _ = c.Seek(index(first)) {
-				if err := c.Delete(); err != nil {
-					return err
-				}
-			}
-			for _, e := range k.Entries {
-				if err := put(log, index(e.GetIndex()), e); err != nil {
-					return err
-				}
-			}
+		if err := replaceFrom(log, k.Entries); err != nil {
+			return err
 		}
 		if h := k.HardState; h != nil && (h.GetTerm() != 0 || h.GetCommit() != 0 || h.GetVote() != 0) {
 			return put(meta, stateKey, h)
@@ -210,6 +196,37 @@
 	})
 }
 
+// deleteUpTo deletes the log's entries up to an index, that one too.
+func deleteUpTo(log *bbolt.Bucket, upTo uint64) error {
+	c := log.Cursor()
+	for key, _ := c.First(); key != nil && binary.BigEndian.Uint64(key) <= upTo; key, _ = c.First() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replaceFrom puts entries into the log in place of all that stood there from the first one on, which was never agreed.
+func replaceFrom(log *bbolt.Bucket, entries []*pb.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	first := entries[0].GetIndex()
+	c := log.Cursor()
+	for key, _ := c.Seek(index(first)); key != nil; key, _ = c.Seek(index(first)) {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	for _, e := range entries {
+		if err := put(log, index(e.GetIndex()), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func index(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
 func put(b *bbolt.Bucket, key []byte, m proto.Message) error {
--- a/internal/coordserver/transport.go
+++ b/internal/coordserver/transport.go
@@ -72,6 +72,32 @@
 	return p
 }
 
+// withMore appends to a batch all that waits for the peer by now.
+func (p *peer) withMore(batch []*pb.Message) []*pb.Message {
+	for {
+		select {
+		case b := <-p.box:
+			batch = append(batch, b...)
+		default:
+			return batch
+		}
+	}
+}
+
+// encode writes messages behind their lengths, and tells whether a snapshot is among them.
+func encode(batch []*pb.Message) (body []byte, snap bool) {
+	for _, m := range batch {
+		text, err := proto.Marshal(m)
+		if err != nil {
+			continue
+		}
+		body = binary.BigEndian.AppendUint32(body, uint32(len(text)))
+		body = append(body, text...)
+		snap = snap || m.GetType() == pb.MsgSnap
+	}
+	return body, snap
+}
+
 // send messages; what finds no room is lost, as on any network.
 func (t *transport) send(all []*pb.Message, k *coordinator.Keeper) {
 	by := map[uint64][]*pb.Message{}
@@ -79,14 +105,7 @@
 		by[m.GetTo()] = append(by[m.GetTo()], m)
 	}
 	for id, batch := range by {
-		p := t.to[id]
-		if p == nil { // a keeper that joins knows the others by its folder only
-			for _, x := range t.id.Peers {
-				if x.ID == id {
-					p = t.add(id, x.Addr)
-				}
-			}
-		}
+		p := t.peerOf(id)
 		if p == nil {
 			continue
 		}
@@ -103,6 +122,19 @@
 	}
 }
 
+// peerOf is the peer of an id, nil: there is none.
+func (t *transport) peerOf(id uint64) *peer {
+	p := t.to[id]
+	if p == nil { // a coordinator that joins knows the others by its folder only
+		for _, x := range t.id.Peers {
+			if x.ID == id {
+				p = t.add(id, x.Addr)
+			}
+		}
+	}
+	return p
+}
+
 func (t *transport) post(ctx context.Context, id uint64, p *peer) {
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: dialer(t.s.from).DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
 	defer client.CloseIdleConnections()
@@ -113,25 +145,7 @@
 		case <-ctx.Done():
 			return
 		}
-		for more := true; more; {
-			select {
-			case b := <-p.box:
-				batch = append(batch, b...)
-			default:
-				more = false
-			}
-		}
-		var body []byte
-		snap := false
-		for _, m := range batch {
-			text, err := proto.Marshal(m)
-			if err != nil {
-				continue
-			}
-			body = binary.BigEndian.AppendUint32(body, uint32(len(text)))
-			body = append(body, text...)
-			snap = snap || m.GetType() == pb.MsgSnap
-		}
+		body, snap := encode(p.withMore(batch))
 		err := t.deliver(ctx, client, p.addr, body)
 		if ctx.Err() != nil {
 			return
