--- a/internal/faultrig/audit.go
+++ b/internal/faultrig/audit.go
@@ -237,30 +237,12 @@
 	f := Figures{Refused: a.refused, Gaps: slices.Clone(a.gaps), Asked: a.Asked, Answered: a.Answered, Shed: a.Shed, Failed: a.Failed, Cut: a.Cut,
 		Twice: a.Twice, Slowest: a.slowest}
 	f.Wrong = append(f.Wrong, a.wrong...)
-	for _, e := range a.ended {
-		f.Wrong = append(f.Wrong, e)
-	}
+	f.Wrong = append(f.Wrong, a.ended...)
 	for work, all := range a.acts {
 		f.Acts += len(all)
-		sorted := slices.Clone(all)
-		slices.SortStableFunc(sorted, func(x, y act) int {
-			switch {
-			case x.at < y.at:
-				return -1
-			case x.at > y.at:
-				return 1
-			}
-			return 0
-		})
-		highest, who := uint64(0), map[uint64]string{}
-		for _, x := range sorted {
-			life := fmt.Sprint(x.who, "/", x.life)
-			if x.fence < highest || who[x.fence] != "" && who[x.fence] != life {
-				f.Old++
-				f.Wrong = append(f.Wrong, fmt.Sprintf("%s: %s acted under fence %d after %d", work, life, x.fence, highest))
-			}
-			highest, who[x.fence] = max(highest, x.fence), life
-		}
+		old := underOldFences(work, all)
+		f.Old += len(old)
+		f.Wrong = append(f.Wrong, old...)
 	}
 	for work, spans := range a.spans {
 		if !strings.HasPrefix(work, "warmth/") {
@@ -275,12 +257,26 @@
 	return f
 }
 
+// underOldFences tells of each act on a task under a fence that was lower than an earlier act's, or another process's.
+func underOldFences(work string, acts []act) (wrong []string) {
+	sorted := slices.Clone(acts)
+	slices.SortStableFunc(sorted, func(x, y act) int { return cmp.Compare(x.at, y.at) })
+	highest, who := uint64(0), map[uint64]string{}
+	for _, x := range sorted {
+		life := fmt.Sprint(x.who, "/", x.life)
+		if x.fence < highest || who[x.fence] != "" && who[x.fence] != life {
+			wrong = append(wrong, fmt.Sprintf("%s: %s acted under fence %d after %d", work, life, x.fence, highest))
+		}
+		highest, who[x.fence] = max(highest, x.fence), life
+	}
+	return wrong
+}
+
 const window = 1.0 // seconds of the cold engines' limit
 
 // worst sum of parts over all routers within any window. A router's part is what was dealt to it, nothing while it lays its
 // own down, else the equal part.
 func (a *audit) worst(spans []span) (worst, when float64) {
-	equal := 1 / float64(a.r.file.Routers)
 	by := map[string][]span{}
 	var times []float64
 	for _, s := range spans {
@@ -291,16 +287,7 @@
 	for _, mine := range by {
 		slices.SortStableFunc(mine, func(x, y span) int { return cmp.Compare(x.at, y.at) })
 	}
-	const most = 1000 // moments to look at: all of a short run's
-	if len(times) > most {
-		step := len(times) / most
-		thin := times[:0]
-		for k := 0; k < len(times); k += step + 1 {
-			thin = append(thin, times[k])
-		}
-		times = thin
-	}
-	for _, t := range times {
+	for _, t := range thinned(times) {
 		sum := 0.0
 		for n := range a.r.file.Routers {
 			name := fmt.Sprint("n", n+1)
@@ -308,19 +295,8 @@
 				if life[0] > t || life[1]+window < t {
 					continue
 				}
-				mine := by[fmt.Sprint(name, "/", k+1)]
-				part := 0.0
-				for _, s := range near(mine, t) {
-					if end := min(s.until, life[1]); !s.laid && s.at <= t && end+window > t {
-						part = max(part, s.part)
-					}
-				}
-				// The equal part, at some moment of the window: only a life that goes on is counted, since a restart has
-				// its part twice without a fleet as well.
-				if life[1] > t && a.equal(fmt.Sprint(name, "/", k+1), mine, life[0], t) {
-					part = max(part, equal)
-				}
-				sum += part
+				key := fmt.Sprint(name, "/", k+1)
+				sum += a.partOf(key, life, by[key], t)
 			}
 		}
 		if sum > worst {
@@ -330,6 +306,36 @@
 	return worst, when
 }
 
+// thinned leaves so many of the moments that all of a short run's are looked at.
+func thinned(times []float64) []float64 {
+	const most = 1000
+	if len(times) <= most {
+		return times
+	}
+	step := len(times) / most
+	thin := times[:0]
+	for k := 0; k < len(times); k += step + 1 {
+		thin = append(thin, times[k])
+	}
+	return thin
+}
+
+// partOf is the most of the allowance that a process, which lived from life[0] to life[1], may have used in the window before t.
+func (a *audit) partOf(key string, life [2]float64, mine []span, t float64) float64 {
+	part := 0.0
+	for _, s := range near(mine, t) {
+		if end := min(s.until, life[1]); !s.laid && s.at <= t && end+window > t {
+			part = max(part, s.part)
+		}
+	}
+	// The equal part, at some moment of the window: only a life that goes on is counted, since a restart has its part twice
+	// without a fleet as well.
+	if life[1] > t && a.equal(key, mine, life[0], t) {
+		part = max(part, 1/float64(a.r.file.Routers))
+	}
+	return part
+}
+
 // near is the spans that can reach a moment: none is longer than that, and they lie in the order that they began.
 func near(all []span, t float64) []span {
 	const longest = 30.0
--- a/internal/faultrig/link.go
+++ b/internal/faultrig/link.go
@@ -14,7 +14,6 @@
 type links struct {
 	listener net.Listener
 	target   string
-	from     net.IP // address that calls to the target come from
 	who      func(ip string) string
 	name     string // of the target
 
@@ -191,6 +190,28 @@
 	}
 }
 
+// write gives a process what came for it, as late and as slowly as its direction is now.
+func (p *links) write(to net.Conn, text []byte, a, b string) error {
+	p.mu.Lock()
+	s := p.of(a, b)
+	delay, slow := s.delay, s.mode == trickle
+	p.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	if !slow {
+		_, err := to.Write(text)
+		return err
+	}
+	for k := range text {
+		time.Sleep(5 * time.Millisecond)
+		if _, err := to.Write(text[k : k+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (p *links) copy(c *pair, from, to net.Conn, a, b string) {
 	buf := make([]byte, 32<<10)
 	for {
@@ -199,21 +220,7 @@
 			if !p.pass(a, b, c) {
 				return
 			}
-			p.mu.Lock()
-			s := p.of(a, b)
-			delay, slow := s.delay, s.mode == trickle
-			p.mu.Unlock()
-			if delay > 0 {
-				time.Sleep(delay)
-			}
-			if slow {
-				for k := range n {
-					time.Sleep(5 * time.Millisecond)
-					if _, err := to.Write(buf[k : k+1]); err != nil {
-						return
-					}
-				}
-			} else if _, err := to.Write(buf[:n]); err != nil {
+			if p.write(to, buf[:n], a, b) != nil {
 				return
 			}
 		}
--- a/internal/faultrig/rig_test.go
+++ b/internal/faultrig/rig_test.go
@@ -214,16 +214,7 @@
 				t.Fatal("nobody else leads")
 			}
 		}
-		for _, word := range []string{"owners", "sessions", "status"} {
-			began := time.Now()
-			out, err := words("dunefleet", word, "--json")
-			if took := time.Since(began); err != nil || took > 4*time.Second {
-				t.Errorf("%s with %s stopped: %v after %v\n%s", word, k, err, took, out)
-			}
-			if word == "owners" && !strings.Contains(out, `"owner": "n`) {
-				t.Errorf("owners have no names:\n%s", out)
-			}
-		}
+		answersWithout(t, k, words)
 		if err := r.Do("continue", k); err != nil {
 			t.Fatal(err)
 		}
@@ -237,6 +228,21 @@
 	}
 }
 
+// answersWithout checks that people's questions are answered soon while a coordinator is stopped.
+func answersWithout(t *testing.T, stopped string, words func(program string, args ...string) (string, error)) {
+	t.Helper()
+	for _, word := range []string{"owners", "sessions", "status"} {
+		began := time.Now()
+		out, err := words("dunefleet", word, "--json")
+		if took := time.Since(began); err != nil || took > 4*time.Second {
+			t.Errorf("%s with %s stopped: %v after %v\n%s", word, stopped, err, took, out)
+		}
+		if word == "owners" && !strings.Contains(out, `"owner": "n`) {
+			t.Errorf("owners have no names:\n%s", out)
+		}
+	}
+}
+
 // TestTrials: an engine hangs under load. With the fleet fewer commands are spent on trying it, and it is used again by all soon
 // after it answers.
 func TestTrials(t *testing.T) {
