--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -28,6 +28,17 @@
 	script.Programs(m, func(dir string) { program = filepath.Join(dir, "dunereach") }, "../dunecheck", ".")
 }
 
+// settingsIn writes a configuration and, unless it is empty, an operators' file to a folder, and gives the environment that names both.
+func settingsIn(dir, configText, operatorText string) []string {
+	config, operator := filepath.Join(dir, "config.json"), ""
+	os.WriteFile(config, []byte(configText), 0o600)
+	if operatorText != "" {
+		operator = filepath.Join(dir, "operator.json")
+		os.WriteFile(operator, []byte(operatorText), 0o600)
+	}
+	return append(os.Environ(), "BALANCER_CONFIG="+config, "DUNEREACH_OPERATOR="+operator)
+}
+
 // TestCheck: what can't serve is said in one line, with its place and cause, by check and by the start alike.
 func TestCheck(t *testing.T) {
 	good, err := os.ReadFile("../../deploy/example.json")
@@ -55,14 +66,7 @@
 		{"no JSON", "", "", `{"teams":`, "line 1, column 9: unexpected end of JSON input"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			dir := t.TempDir()
-			config, operator := filepath.Join(dir, "config.json"), ""
-			os.WriteFile(config, []byte(strings.Replace(string(good), c.old, c.new, 1)), 0o600)
-			if c.operator != "" {
-				operator = filepath.Join(dir, "operator.json")
-				os.WriteFile(operator, []byte(c.operator), 0o600)
-			}
-			env := append(os.Environ(), "BALANCER_CONFIG="+config, "DUNEREACH_OPERATOR="+operator)
+			env := settingsIn(t.TempDir(), strings.Replace(string(good), c.old, c.new, 1), c.operator)
 			checked := exec.Command(program, "check")
 			checked.Env = env
 			out, err := checked.CombinedOutput()
--- a/fleet/registry/entry.go
+++ b/fleet/registry/entry.go
@@ -77,37 +77,41 @@
 			return fmt.Errorf("%v: %v", e.Kind, err)
 		}
 	}
-	missing := ""
+	if missing := e.missing(); missing != "" {
+		return fmt.Errorf("%v: without %s", e.Kind, missing)
+	}
+	return nil
+}
+
+// missing names the fields of the entry's kind one of which is not set, "": all are.
+func (e Entry) missing() string {
 	switch e.Kind {
 	case Open:
 		if e.Name == "" || e.Incarnation == 0 {
-			missing = "name or incarnation"
+			return "name or incarnation"
 		}
 	case Close:
 		if e.Session == 0 {
-			missing = "session"
+			return "session"
 		}
 	case Assign:
 		if e.Session == 0 || e.Work == "" {
-			missing = "session or work"
+			return "session or work"
 		}
 	case Release, Note:
 		if e.Session == 0 || e.Work == "" || e.Fence == 0 {
-			missing = "session, work or fence"
+			return "session, work or fence"
 		}
 	case Drop, Ask, Say:
 		if e.Work == "" {
-			missing = "work"
+			return "work"
 		}
 	case Keep, Unkeep:
 		if e.Keeper == 0 {
-			missing = "keeper"
+			return "keeper"
 		}
 	}
-	if missing != "" {
-		return fmt.Errorf("%v: without %s", e.Kind, missing)
-	}
-	return nil
+	return ""
 }
 
 // CheckName tells whether a text may be a name in the record.
--- a/fleet/registry/record_test.go
+++ b/fleet/registry/record_test.go
@@ -29,10 +29,7 @@
 		for n := range rapid.IntRange(1, 60).Draw(t, "entries") {
 			e := drawn(t)
 			before := a.Fence()
-			owner := map[string]uint64{}
-			for _, w := range a.Works() {
-				owner[w.Name] = w.Owner
-			}
+			owner := ownersOf(a)
 			fence, errA := a.Apply(uint64(n+1), e)
 			other, errB := b.Apply(uint64(n+1), e)
 			if fence != other || fmt.Sprint(errA) != fmt.Sprint(errB) {
@@ -51,25 +48,46 @@
 				}
 			}
 			checkOwners(t, a)
-			for _, w := range a.Works() {
-				if was := owner[w.Name]; was != 0 && w.Owner != was && e.Kind != Close && e.Kind != Release {
-					t.Fatalf("%v took %q from its owner", e.Kind, w.Name)
-				}
-			}
+			checkKept(t, a, owner, e)
 			if n%7 == 3 {
-				text, err := b.Snapshot()
-				if err != nil {
-					t.Fatal(err)
-				}
-				if b, err = Restore(text); err != nil {
-					t.Fatal(err)
-				}
+				b = restored(t, b)
 			}
 			checkSame(t, a, b, e)
 		}
 	})
 }
 
+// ownersOf gives the owner of each task, 0: none.
+func ownersOf(r *Record) map[string]uint64 {
+	owner := map[string]uint64{}
+	for _, w := range r.Works() {
+		owner[w.Name] = w.Owner
+	}
+	return owner
+}
+
+// checkKept checks that an entry has taken no task from its owner before, unless that is what it is for.
+func checkKept(t *rapid.T, r *Record, owner map[string]uint64, e Entry) {
+	for _, w := range r.Works() {
+		if was := owner[w.Name]; was != 0 && w.Owner != was && e.Kind != Close && e.Kind != Release {
+			t.Fatalf("%v took %q from its owner", e.Kind, w.Name)
+		}
+	}
+}
+
+// restored is a registry that is made anew from the snapshot of another.
+func restored(t *rapid.T, r *Record) *Record {
+	text, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Restore(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return again
+}
+
 // checkOwners checks that each task that is owned has a session as its owner, and that sessions list just the tasks that they own.
 func checkOwners(t *rapid.T, r *Record) {
 	owned := 0
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -25,6 +25,33 @@
 	}
 }
 
+// leftWhile has a client ask and leave: while its request is held for want of a server, or while it waits for a connection.
+func (h *hall) leftWhile(held bool, leave func(c *fake.Client)) *fake.Client {
+	h.t.Helper()
+	go h.accept(h.listener)
+	c := h.client()
+	h.arrive(<-h.arrivals, false)
+	if !held {
+		h.ready(0)
+	}
+	h.call(c, "a")
+	h.deliver(1)
+	if h.Owed() != 1 {
+		h.t.Fatal("it is not in hand")
+	}
+	if held {
+		leave(c)
+		h.deliver(1)
+		h.ready(0)
+		return c
+	}
+	up := <-h.inbox // the connection is there, and its owner yet to know
+	leave(c)
+	h.deliver(1)
+	h.Deliver(h.clock.now(), up)
+	return c
+}
+
 // TestLeft: a command whose client has left, by whichever way, is not sent on: neither from the line nor when the connection
 // that it waits for is up. The order is forced: the owner hears of the end first.
 func TestLeft(t *testing.T) {
@@ -37,27 +64,7 @@
 		for place, held := range map[string]bool{"in the line": true, "waiting for its connection": false} {
 			t.Run(name+" "+place, func(t *testing.T) {
 				h := newHall(t, 100, 1)
-				go h.accept(h.listener)
-				c := h.client()
-				h.arrive(<-h.arrivals, false)
-				if !held {
-					h.ready(0)
-				}
-				h.call(c, "a")
-				h.deliver(1)
-				if h.Owed() != 1 {
-					t.Fatal("it is not in hand")
-				}
-				if held {
-					leave(c)
-					h.deliver(1)
-					h.ready(0)
-				} else {
-					up := <-h.inbox // the connection is there, and its owner yet to know
-					leave(c)
-					h.deliver(1)
-					h.Deliver(h.clock.now(), up)
-				}
+				c := h.leftWhile(held, leave)
 				h.silent()
 				if h.Owed() != 0 || len(h.cmds) != 0 {
 					t.Error("it is still in hand")
