--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -339,6 +339,28 @@
 		return
 	}
 	k.tended = k.now
+	k.endSilent()
+	k.assign()
+	for _, id := range k.ids() {
+		if c := k.clients[id]; c.held != nil && k.now >= c.until { // news of the record show at once (news)
+			k.show(id, c)
+		}
+	}
+	k.forget()
+	const patience = 3.0 // seconds that a change of keepers may take: some elections
+	if k.changing && k.now > k.changeAt+patience {
+		k.giveUp()
+	}
+	later := k.later
+	k.later = nil
+	for _, do := range later {
+		do()
+	}
+	k.promote()
+}
+
+// endSilent ends each session that has sent no heartbeat for a lease, counted from this leader's start at the earliest.
+func (k *Keeper) endSilent() {
 	duration, _ := k.rec.Terms()
 	for _, s := range k.rec.Sessions() {
 		c := k.clients[s.ID]
@@ -362,23 +384,6 @@
 		}
 		k.end(s.ID)
 	}
-	k.assign()
-	for _, id := range k.ids() {
-		if c := k.clients[id]; c.held != nil && k.now >= c.until { // news of the record show at once (news)
-			k.show(id, c)
-		}
-	}
-	k.forget()
-	const patience = 3.0 // seconds that a change of keepers may take: some elections
-	if k.changing && k.now > k.changeAt+patience {
-		k.giveUp()
-	}
-	later := k.later
-	k.later = nil
-	for _, do := range later {
-		do()
-	}
-	k.promote()
 }
 
 func (k *Keeper) end(id uint64) {
--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -241,18 +241,22 @@
 		for _, id := range named[l.To] {
 			k.drop(id, l)
 		}
-		if l.To != "*" {
-			continue
-		}
-		for _, id := range ids {
-			if c := k.clients[id]; c.name != l.To && c.wantsWork(l.Work) {
-				k.drop(id, l)
-			}
+		if l.To == "*" {
+			k.dropToWanting(ids, l)
 		}
 	}
 	k.answer(request, p, nil)
 }
 
+// dropToWanting puts a message into the box of each session that wants its task.
+func (k *Keeper) dropToWanting(ids []uint64, l Letter) {
+	for _, id := range ids {
+		if c := k.clients[id]; c.name != l.To && c.wantsWork(l.Work) {
+			k.drop(id, l)
+		}
+	}
+}
+
 // gather is how long a letter waits for others to go with: a deal lives fifteen times as long, and it spares a busy keeper half
 // of its calls.
 const gather = 0.1
