--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -234,9 +234,7 @@
 		k.answer(w.request, nil, registry.ErrSuperseded)
 		return
 	}
-	if c == nil {
-		c = k.admit(s)
-	}
+	c = k.clientOf(s)
 	if c.ending {
 		k.answer(w.request, nil, ErrSession)
 		return
@@ -249,14 +247,8 @@
 		c.heard = max(c.heard, w.at)
 	}
 	k.stand(c, b.Stands)
+	k.noteWanted(b.Wants)
 	k.want(s.ID, c, b.Wants)
-	for _, x := range b.Wants {
-		since := k.now
-		if w, ok := k.wanted[x.Work]; ok && k.now-w.at <= keepWant {
-			since = w.since
-		}
-		k.wanted[x.Work] = want{x.Zone, since, k.now}
-	}
 	if c.held != nil { // it asks anew, so it waits for that no more
 		k.show(s.ID, c)
 	}
@@ -308,6 +300,25 @@
 	c.wants = wants
 }
 
+// clientOf is what is known of a session beside the registry, from its first heartbeat here on.
+func (k *Keeper) clientOf(s *registry.Session) *client {
+	if c := k.clients[s.ID]; c != nil {
+		return c
+	}
+	return k.admit(s)
+}
+
+// noteWanted notes the tasks that a session wants to exist, and since when each has been wanted without a pause.
+func (k *Keeper) noteWanted(wants []Want) {
+	for _, x := range wants {
+		since := k.now
+		if w, ok := k.wanted[x.Work]; ok && k.now-w.at <= keepWant {
+			since = w.since
+		}
+		k.wanted[x.Work] = want{x.Zone, since, k.now}
+	}
+}
+
 // stand notes the kinds of work that a session would own.
 func (k *Keeper) stand(c *client, kinds []string) {
 	if slices.Equal(c.stands, kinds) {
@@ -368,6 +379,28 @@
 		return
 	}
 	k.tended = k.now
+	k.endSilent()
+	k.assign()
+	for _, id := range k.ids() {
+		if c := k.clients[id]; c.held != nil && k.now >= c.until { // news of the record show at once (news)
+			k.show(id, c)
+		}
+	}
+	k.forget()
+	const patience = 3.0 // seconds that a change of keepers may take: some elections
+	if k.changing && k.now > k.changeAt+patience {
+		k.giveUp()
+	}
+	later := k.later
+	k.later = nil
+	for _, do := range later {
+		do()
+	}
+	k.promote()
+}
+
+// endSilent ends each session that has sent no heartbeat for a lease, counted from this leader's start at the earliest.
+func (k *Keeper) endSilent() {
 	duration, _ := k.rec.Terms()
 	for _, s := range k.rec.Sessions() {
 		c := k.clients[s.ID]
@@ -381,10 +414,7 @@
 		if k.now-last <= duration {
 			continue
 		}
-		if c == nil {
-			c = k.admit(s)
-		}
-		c.ending = true
+		k.clientOf(s).ending = true
 		for _, w := range k.rec.Works() {
 			if w.Owner == s.ID {
 				k.passing.Lost(k.now, s.Name)
@@ -394,23 +424,6 @@
 		}
 		k.end(s.ID)
 	}
-	k.assign()
-	for _, id := range k.ids() {
-		if c := k.clients[id]; c.held != nil && k.now >= c.until { // news of the record show at once (news)
-			k.show(id, c)
-		}
-	}
-	k.forget()
-	const patience = 3.0 // seconds that a change of keepers may take: some elections
-	if k.changing && k.now > k.changeAt+patience {
-		k.giveUp()
-	}
-	later := k.later
-	k.later = nil
-	for _, do := range later {
-		do()
-	}
-	k.promote()
 }
 
 func (k *Keeper) end(id uint64) {
--- a/fleet/coordinator/views.go
+++ b/fleet/coordinator/views.go
@@ -222,18 +222,22 @@
 		for _, id := range k.named[l.To] {
 			k.drop(id, l)
 		}
-		if l.To != "*" {
-			continue
-		}
-		for _, id := range slices.Sorted(maps.Keys(k.wanting[l.Work])) {
-			if k.clients[id].name != l.To {
-				k.drop(id, l)
-			}
+		if l.To == "*" {
+			k.dropToWanting(l)
 		}
 	}
 	k.answer(request, p, nil)
 }
 
+// dropToWanting puts a message into the box of each session that wants its task.
+func (k *Keeper) dropToWanting(l Letter) {
+	for _, id := range slices.Sorted(maps.Keys(k.wanting[l.Work])) {
+		if k.clients[id].name != l.To {
+			k.drop(id, l)
+		}
+	}
+}
+
 // gather is how long a letter waits for others to go with: a deal lives fifteen times as long, and it spares a busy keeper half
 // of its calls.
 const gather = 0.1
--- a/fleet/registry/record_test.go
+++ b/fleet/registry/record_test.go
@@ -29,10 +29,7 @@
 		for n := range rapid.IntRange(1, 60).Draw(t, "entries") {
 			e := drawn(t)
 			before := a.Fence()
-			owner := map[string]uint64{}
-			for _, w := range a.Works() {
-				owner[w.Name] = w.Owner
-			}
+			owner := ownersOf(a)
 			fence, errA := a.Apply(uint64(n+1), e)
 			other, errB := b.Apply(uint64(n+1), e)
 			if fence != other || fmt.Sprint(errA) != fmt.Sprint(errB) {
@@ -50,52 +47,85 @@
 					t.Fatalf("%q was session %d's", e.Work, owner[e.Work])
 				}
 			}
-			owned := 0
-			for _, s := range a.Sessions() {
-				for _, w := range a.Owned(s.ID) {
-					owned++
-					if w.Owner != s.ID || a.Work(w.Name) != w {
-						t.Fatalf("%q is listed as session %d's: %+v", w.Name, s.ID, w)
-					}
-				}
-			}
-			for _, w := range a.Works() {
-				if w.Owner != 0 {
-					owned--
-				}
-				if w.Owner != 0 && a.Session(w.Owner) == nil {
-					t.Fatalf("%q is owned by no session", w.Name)
-				}
-				if was := owner[w.Name]; was != 0 && w.Owner != was && e.Kind != Close && e.Kind != Release {
-					t.Fatalf("%v took %q from its owner", e.Kind, w.Name)
-				}
-			}
+			checkOwners(t, a)
+			checkKept(t, a, owner, e)
 			if n%7 == 3 {
-				text, err := b.Snapshot()
-				if err != nil {
-					t.Fatal(err)
-				}
-				if b, err = Restore(text); err != nil {
-					t.Fatal(err)
-				}
-			}
-			if owned != 0 {
-				t.Fatalf("%d tasks more have owners than owners have tasks", -owned)
-			}
-			for _, s := range a.Sessions() {
-				if x, y := a.Owned(s.ID), b.Owned(s.ID); len(x) != len(y) {
-					t.Fatalf("session %d owns %d tasks, %d over snapshots", s.ID, len(x), len(y))
-				}
-			}
-			x, _ := a.Snapshot()
-			y, _ := b.Snapshot()
-			if !bytes.Equal(x, y) {
-				t.Fatalf("records differ after %+v", e)
+				b = restored(t, b)
 			}
+			checkSame(t, a, b, e)
 		}
 	})
 }
 
+// ownersOf gives the owner of each task, 0: none.
+func ownersOf(r *Record) map[string]uint64 {
+	owner := map[string]uint64{}
+	for _, w := range r.Works() {
+		owner[w.Name] = w.Owner
+	}
+	return owner
+}
+
+// checkKept checks that an entry has taken no task from its owner before, unless that is what it is for.
+func checkKept(t *rapid.T, r *Record, owner map[string]uint64, e Entry) {
+	for _, w := range r.Works() {
+		if was := owner[w.Name]; was != 0 && w.Owner != was && e.Kind != Close && e.Kind != Release {
+			t.Fatalf("%v took %q from its owner", e.Kind, w.Name)
+		}
+	}
+}
+
+// restored is a registry that is made anew from the snapshot of another.
+func restored(t *rapid.T, r *Record) *Record {
+	text, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Restore(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return again
+}
+
+// checkOwners checks that each task that is owned has a session as its owner, and that sessions list just the tasks that they own.
+func checkOwners(t *rapid.T, r *Record) {
+	owned := 0
+	for _, s := range r.Sessions() {
+		for _, w := range r.Owned(s.ID) {
+			owned++
+			if w.Owner != s.ID || r.Work(w.Name) != w {
+				t.Fatalf("%q is listed as session %d's: %+v", w.Name, s.ID, w)
+			}
+		}
+	}
+	for _, w := range r.Works() {
+		if w.Owner != 0 {
+			owned--
+		}
+		if w.Owner != 0 && r.Session(w.Owner) == nil {
+			t.Fatalf("%q is owned by no session", w.Name)
+		}
+	}
+	if owned != 0 {
+		t.Fatalf("%d tasks more have owners than owners have tasks", -owned)
+	}
+}
+
+// checkSame checks that two registries are the same after an entry, one of which may have been restored from its snapshots.
+func checkSame(t *rapid.T, a, b *Record, e Entry) {
+	for _, s := range a.Sessions() {
+		if x, y := a.Owned(s.ID), b.Owned(s.ID); len(x) != len(y) {
+			t.Fatalf("session %d owns %d tasks, %d over snapshots", s.ID, len(x), len(y))
+		}
+	}
+	x, _ := a.Snapshot()
+	y, _ := b.Snapshot()
+	if !bytes.Equal(x, y) {
+		t.Fatalf("records differ after %+v", e)
+	}
+}
+
 // TestBounds: what is too much is refused, and what is there stays; names and notes at their bounds keep the snapshot under its own.
 func TestBounds(t *testing.T) {
 	r := New()
