--- a/fleet/coordinator/desk.go
+++ b/fleet/coordinator/desk.go
@@ -17,11 +17,13 @@
 // desk is what a leader knows of sessions beside the record. It is gone when it leads no more: the next leader counts every
 // session's lease anew, which only lengthens it.
 type desk struct {
-	clients  map[uint64]*client // by session
-	opening  map[string]bool    // names whose session is being agreed
-	tokens   map[string]token   // by name, of those that have no session yet
-	batch    []waiting          // not yet sure that this keeper leads
-	asked    []waiting          // the question whether it does is out
+	clients  map[uint64]*client         // by session
+	named    map[string][]uint64        // sessions of each name, in order: an older one may still be there
+	wanting  map[string]map[uint64]bool // sessions that want a task
+	opening  map[string]bool            // names whose session is being agreed
+	tokens   map[string]token           // by name, of those that have no session yet
+	batch    []waiting                  // not yet sure that this keeper leads
+	asked    []waiting                  // the question whether it does is out
 	question uint64
 	askedAt  float64
 	standing map[string]int  // sessions that would own works of a kind
@@ -76,7 +78,7 @@
 }
 
 func newDesk() desk {
-	return desk{clients: map[uint64]*client{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, standing: map[string]int{}, wanted: map[string]want{},
+	return desk{clients: map[uint64]*client{}, named: map[string][]uint64{}, wanting: map[string]map[uint64]bool{}, opening: map[string]bool{}, tokens: map[string]token{}, assigns: map[string]bool{}, standing: map[string]int{}, wanted: map[string]want{},
 		passing: lease.NewFlapDamper(), readAs: map[uint64]uint16{}}
 }
 
@@ -232,10 +234,7 @@
 		k.answer(w.request, nil, registry.ErrSuperseded)
 		return
 	}
-	if c == nil {
-		c = &client{name: s.Name, incarnation: s.Incarnation}
-		k.clients[s.ID] = c
-	}
+	c = k.clientOf(s)
 	if c.ending {
 		k.answer(w.request, nil, ErrSession)
 		return
@@ -248,14 +247,8 @@
 		c.heard = max(c.heard, w.at)
 	}
 	k.stand(c, b.Stands)
-	c.wants = b.Wants
-	for _, x := range b.Wants {
-		since := k.now
-		if w, ok := k.wanted[x.Work]; ok && k.now-w.at <= keepWant {
-			since = w.since
-		}
-		k.wanted[x.Work] = want{x.Zone, since, k.now}
-	}
+	k.noteWanted(b.Wants)
+	k.want(s.ID, c, b.Wants)
 	if c.held != nil { // it asks anew, so it waits for that no more
 		k.show(s.ID, c)
 	}
@@ -267,6 +260,65 @@
 	k.look(s.ID, c)
 }
 
+// admit a session to those that are known.
+func (k *Keeper) admit(s *registry.Session) *client {
+	c := &client{name: s.Name, incarnation: s.Incarnation}
+	k.clients[s.ID] = c
+	all := k.named[s.Name]
+	at, _ := slices.BinarySearch(all, s.ID)
+	k.named[s.Name] = slices.Insert(all, at, s.ID)
+	return c
+}
+
+// dismiss a session that has ended.
+func (k *Keeper) dismiss(id uint64, c *client) {
+	k.stand(c, nil)
+	k.want(id, c, nil)
+	delete(k.clients, id)
+	left := slices.DeleteFunc(k.named[c.name], func(other uint64) bool { return other == id })
+	if k.named[c.name] = left; len(left) == 0 {
+		delete(k.named, c.name)
+	}
+}
+
+// want notes the tasks that a session has use for.
+func (k *Keeper) want(id uint64, c *client, wants []Want) {
+	if slices.Equal(c.wants, wants) {
+		return
+	}
+	for _, x := range c.wants {
+		if delete(k.wanting[x.Work], id); len(k.wanting[x.Work]) == 0 {
+			delete(k.wanting, x.Work)
+		}
+	}
+	for _, x := range wants {
+		if k.wanting[x.Work] == nil {
+			k.wanting[x.Work] = map[uint64]bool{}
+		}
+		k.wanting[x.Work][id] = true
+	}
+	c.wants = wants
+}
+
+// clientOf is what is known of a session beside the registry, from its first heartbeat here on.
+func (k *Keeper) clientOf(s *registry.Session) *client {
+	if c := k.clients[s.ID]; c != nil {
+		return c
+	}
+	return k.admit(s)
+}
+
+// noteWanted notes the tasks that a session wants to exist, and since when each has been wanted without a pause.
+func (k *Keeper) noteWanted(wants []Want) {
+	for _, x := range wants {
+		since := k.now
+		if w, ok := k.wanted[x.Work]; ok && k.now-w.at <= keepWant {
+			since = w.since
+		}
+		k.wanted[x.Work] = want{x.Zone, since, k.now}
+	}
+}
+
 // stand notes the kinds of work that a session would own.
 func (k *Keeper) stand(c *client, kinds []string) {
 	if slices.Equal(c.stands, kinds) {
@@ -327,6 +379,28 @@
 		return
 	}
 	k.tended = k.now
+	k.endSilent()
+	k.assign()
+	for _, id := range k.ids() {
+		if c := k.clients[id]; c.held != nil && k.now >= c.until { // news of the record show at once (news)
+			k.show(id, c)
+		}
+	}
+	k.forget()
+	const patience = 3.0 // seconds that a change of keepers may take: some elections
+	if k.changing && k.now > k.changeAt+patience {
+		k.giveUp()
+	}
+	later := k.later
+	k.later = nil
+	for _, do := range later {
+		do()
+	}
+	k.promote()
+}
+
+// endSilent ends each session that has sent no heartbeat for a lease, counted from this leader's start at the earliest.
+func (k *Keeper) endSilent() {
 	duration, _ := k.rec.Terms()
 	for _, s := range k.rec.Sessions() {
 		c := k.clients[s.ID]
@@ -340,11 +414,7 @@
 		if k.now-last <= duration {
 			continue
 		}
-		if c == nil {
-			c = &client{name: s.Name, incarnation: s.Incarnation}
-			k.clients[s.ID] = c
-		}
-		c.ending = true
+		k.clientOf(s).ending = true
 		for _, w := range k.rec.Works() {
 			if w.Owner == s.ID {
 				k.passing.Lost(k.now, s.Name)
@@ -354,23 +424,6 @@
 		}
 		k.end(s.ID)
 	}
-	k.assign()
-	for _, id := range k.ids() {
-		if c := k.clients[id]; c.held != nil && k.now >= c.until { // news of the record show at once (news)
-			k.show(id, c)
-		}
-	}
-	k.forget()
-	const patience = 3.0 // seconds that a change of keepers may take: some elections
-	if k.changing && k.now > k.changeAt+patience {
-		k.giveUp()
-	}
-	later := k.later
-	k.later = nil
-	for _, do := range later {
-		do()
-	}
-	k.promote()
 }
 
 func (k *Keeper) end(id uint64) {
@@ -386,8 +439,7 @@
 		if c.held != nil {
 			k.answer(c.held.request, nil, ErrSession)
 		}
-		k.stand(c, nil)
-		delete(k.clients, id)
+		k.dismiss(id, c)
 		k.log("session %d: %q has ended", id, c.name)
 	})
 }
