--- a/internal/scale/primary.go
+++ b/internal/scale/primary.go
@@ -21,13 +21,14 @@
 	if err != nil {
 		return nil, err
 	}
-	fleets := []int{primaryProcesses, 100, 400, TargetRouters}
-	if short {
-		fleets = []int{primaryProcesses, TargetRouters}
+	sizes := []int{primaryProcesses, 100, 400, TargetRouters}
+	fleets := map[bool][]int{false: sizes, true: sizes}
+	if short { // a cold process at the whole size is TestPrimaryColdAtFullSize
+		fleets = map[bool][]int{false: {TargetRouters}, true: {100}}
 	}
 	var rows []measure.Row
 	for _, cold := range []bool{false, true} {
-		for _, routers := range fleets {
+		for _, routers := range fleets[cold] {
 			played, err := playPrimary(program, primaryOptions{routers: routers, cold: cold})
 			if err != nil {
 				return rows, fmt.Errorf("%d routers: %w", routers, err)
