--- a/internal/scale/primary.go
+++ b/internal/scale/primary.go
@@ -43,7 +43,7 @@
 type primaryResult struct {
 	gap       float64 // from the last attempt at the old process to the first answer of the new one, slowest router
 	told      float64 // from the name server's news to the first attempt at the new process, slowest router
-	late      int     // attempts at the old process after it had died
+	late      int     // attempts at the dead process by routers that had begun to use the new one
 	unserved  int     // routers without an answer of the new process by the end
 	rejected  int     // requests rejected or failed while their router had no answer of the new process
 	completed int     // requests completed in all
@@ -58,7 +58,7 @@
 	return []measure.Row{
 		measure.AtMost(name+"old's last attempt to new's first answer, slowest of 8, s", r.gap, primaryBound),
 		measure.Figure(name+"news to first attempt, slowest of 8, s", r.told),
-		measure.AtMost(name+"attempts at the dead process", float64(r.late), 0),
+		measure.AtMost(name+"attempts at the dead process after one at the new", float64(r.late), 0),
 		measure.AtMost(name+"routers of 8 never served", float64(r.unserved), 0),
 		measure.Figure(name+"requests rejected or failed meanwhile", float64(r.rejected)),
 	}
--- a/internal/scale/primary_test.go
+++ b/internal/scale/primary_test.go
@@ -15,7 +15,7 @@
 	}
 	t.Logf("%+v", result)
 	if result.late > 0 {
-		t.Errorf("%d attempts at the dead process", result.late)
+		t.Errorf("%d attempts at the dead process after one at the new", result.late)
 	}
 	if result.unserved > 0 || result.gap > primaryBound {
 		t.Errorf("%.2f s until the slowest router was served, %d never; wanted within %v s", result.gap, result.unserved, primaryBound)
