--- a/internal/standin/standin.go
+++ b/internal/fake/standin.go
@@ -1,6 +1,6 @@
-// Package standin has what a router talks to, for tests and the demonstration: a name server, engines and clients on
+// Package fake has what a router talks to, for tests and the demonstration: a name server, engines and clients on
 // loopback, each as its published protocol has it. Tests say what they answer; Model has an engine answer by itself.
-package standin
+package fake
 
 import (
 	"bufio"
--- a/internal/rig/link.go
+++ b/internal/faultrig/link.go
@@ -1,6 +1,6 @@
-// Package rig starts several real processes of this program on loopback addresses of their own, puts faults between them, and
+// Package faultrig starts several real processes of this program on loopback addresses of their own, puts faults between them, and
 // looks from outside at what they did.
-package rig
+package faultrig
 
 import (
 	"io"
--- a/internal/rig/observers.go
+++ b/internal/faultrig/observers.go
@@ -1,15 +1,15 @@
-package rig
+package faultrig
 
 import (
 	"context"
 	"fmt"
 	"time"
 
-	"dunereach/failover"
+	"dunereach/fleet/agent"
+	"dunereach/fleet/failover"
+	"dunereach/internal/agentdriver"
 	"dunereach/internal/boottime"
-	"dunereach/internal/fleet"
-	"dunereach/internal/keeper"
-	"dunereach/member"
+	"dunereach/internal/coordserver"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -26,9 +26,9 @@
 	}
 	for k := range many {
 		zone := k % n
-		m := member.New(member.Config{Name: fmt.Sprint("observer", k+1), Zone: fmt.Sprint("z", zone+1), Incarnation: uint64(k + 1), Seed: uint64(k + 1), Zones: n,
-			ZoneNumber: zone, Way: way, Stands: []string{member.Plans}, Members: many, Window: 1, Began: boottime.Now(), Clean: true, Log: func(string) {}}, member.Kept{})
-		d := fleet.NewDriver(m, keeper.NewClient(r.fronts(), ""))
+		m := agent.New(agent.Config{Name: fmt.Sprint("observer", k+1), Zone: fmt.Sprint("z", zone+1), Incarnation: uint64(k + 1), Seed: uint64(k + 1), Zones: n,
+			ZoneNumber: zone, Way: way, Stands: []string{agent.Plans}, Members: many, Window: 1, Began: boottime.Now(), Clean: true, Log: func(string) {}}, agent.Kept{})
+		d := agentdriver.NewDriver(m, coordserver.NewClient(r.fronts(), ""))
 		d.Run(ctx, group)
 		group.Go(func() error {
 			tick := time.NewTicker(100 * time.Millisecond)
@@ -41,7 +41,7 @@
 					take()
 				case <-tick.C:
 					now := boottime.Now()
-					m.Tell(now, member.Demand{Report: func() failover.Report { return report(zone) }})
+					m.Tell(now, agent.Demand{Report: func() failover.Report { return report(zone) }})
 					d.Put(m.Tick(now))
 				}
 			}
--- a/internal/rig/setup.go
+++ b/internal/faultrig/setup.go
@@ -1,4 +1,4 @@
-package rig
+package faultrig
 
 // This file lays a fleet out: folders, addresses, links, configurations.
 
@@ -20,8 +20,8 @@
 
 	"dunereach/emulator/engine"
 	"dunereach/emulator/scenario"
-	"dunereach/internal/members"
-	"dunereach/internal/standin"
+	"dunereach/internal/discovery"
+	"dunereach/internal/fake"
 )
 
 // Options of a rig beside its scenario.
@@ -45,7 +45,7 @@
 
 // NewWith is New with options.
 func NewWith(f scenario.File, o Options, bin, dir string, log func(string)) (*Rig, error) {
-	r := &Rig{o: o, file: f, bin: bin, dir: dir, procs: map[string]*proc{}, links: map[string]*links{}, desk: &standin.Desk{}, log: log,
+	r := &Rig{o: o, file: f, bin: bin, dir: dir, procs: map[string]*proc{}, links: map[string]*links{}, desk: &fake.Desk{}, log: log,
 		net: fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256)), began: time.Now(), stop: make(chan struct{}), starts: make(chan func())}
 	if r.log == nil {
 		r.log = func(string) {}
@@ -63,7 +63,7 @@
 			return nil, errors.New("90 routers and nine keepers at most have addresses here")
 		}
 	}
-	r.names = standin.NewNameServer(r.desk, members.Record)
+	r.names = fake.NewNameServer(r.desk, discovery.Record)
 	var targets []string
 	boot := time.Now().Add(-time.Second).UnixMilli()
 	if o.Warm {
@@ -71,15 +71,15 @@
 	}
 	r.hung = make([]atomic.Bool, f.Engines)
 	for n := range f.Engines {
-		heard := make(chan standin.Said, 1000)
-		e := standin.NewEngine(r.desk, heard)
+		heard := make(chan fake.Said, 1000)
+		e := fake.NewEngine(r.desk, heard)
 		if o.Cores > 0 {
-			seen := make(chan standin.Said, 1000)
+			seen := make(chan fake.Said, 1000)
 			ctx, cancel := context.WithCancel(context.Background())
 			r.desk.Cleanup(cancel)
 			pace := make(chan float64)
 			r.paces = append(r.paces, pace)
-			go standin.Paced(ctx, engine.Settings{Cores: o.Cores, Sessions: 256, Knee: 2, Thrash: 0.3}, seen, pace)
+			go fake.Paced(ctx, engine.Settings{Cores: o.Cores, Sessions: 256, Knee: 2, Thrash: 0.3}, seen, pace)
 			go r.watch(n, heard, seen)
 		} else {
 			go r.engine(n, heard)
@@ -184,14 +184,14 @@
 
 // ownList is what one router is told of engines, by way of its own links.
 type ownList struct {
-	server *standin.NameServer
+	server *fake.NameServer
 	fronts []string // by engine
 	serial uint32
 }
 
 // own list and engines' addresses of one router: links of its own before each.
 func (r *Rig) own(name string) (targets []string, names string, err error) {
-	o := &ownList{server: standin.NewNameServer(r.desk, members.Record)}
+	o := &ownList{server: fake.NewNameServer(r.desk, discovery.Record)}
 	for n, addr := range r.engines {
 		e := fmt.Sprint("e", n+1)
 		l, err := newLinks("127.0.0.1:0", addr, e, func(string) string { return name })
@@ -234,7 +234,7 @@
 }
 
 // watch what a model engine is sent.
-func (r *Rig) watch(n int, heard <-chan standin.Said, model chan<- standin.Said) {
+func (r *Rig) watch(n int, heard <-chan fake.Said, model chan<- fake.Said) {
 	for {
 		select {
 		case s := <-heard:
@@ -270,7 +270,7 @@
 }
 
 // engine answers all it is sent after some milliseconds, and counts what ran.
-func (r *Rig) engine(n int, heard <-chan standin.Said) {
+func (r *Rig) engine(n int, heard <-chan fake.Said) {
 	for {
 		select {
 		case s := <-heard:
--- a/internal/front/front.go
+++ b/internal/frontend/front.go
@@ -1,6 +1,6 @@
-// Package front is the service that clients call: it reads calls off one connection's bytes, hands commands to
+// Package frontend is the service that clients call: it reads calls off one connection's bytes, hands commands to
 // the desk and writes the answers. It knows no socket but what takes its bytes.
-package front
+package frontend
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"strconv"
 	"unicode/utf8"
 
-	"dunereach/internal/sockets"
 	"dunereach/internal/thrift"
+	"dunereach/internal/transport"
 )
 
 // Ask is what a client wants, as it came. Its bytes are good for the call that gets it only.
@@ -116,8 +116,8 @@
 }
 
 // Ended: a client that has closed its side may still read; one whose connection is gone has left.
-func (s *Session) Ended(how sockets.Ending) {
-	if how == sockets.Finished {
+func (s *Session) Ended(how transport.Ending) {
+	if how == transport.Finished {
 		s.half = true
 		for _, seq := range slices.Sorted(maps.Keys(s.open)) {
 			if id, open := s.open[seq]; open {
--- a/internal/background/background.go
+++ b/internal/jobrunner/background.go
@@ -1,5 +1,5 @@
-// Package background runs the jobs that package background decides on: one goroutine keeps the plan, and each run has one of its own.
-package background
+// Package jobrunner runs the jobs that package background decides on: one goroutine keeps the plan, and each run has one of its own.
+package jobrunner
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"dunereach/background"
+	"dunereach/jobs"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,13 +28,13 @@
 
 type done struct {
 	job  int
-	used background.Used
+	used jobs.Used
 	err  error
 }
 
 // Runner runs jobs. Jobs are added before Run.
 type Runner struct {
-	plan   *background.Plan
+	plan   *jobs.Plan
 	start  time.Time
 	names  []string
 	works  []Work
@@ -45,14 +45,14 @@
 }
 
 // New runner.
-func New(t background.Terms, failed Failed) *Runner {
-	return &Runner{plan: background.New(t, 0, rand.Uint64()), start: time.Now(), failed: failed, asks: make(chan int, 16), dones: make(chan done)}
+func New(t jobs.Terms, failed Failed) *Runner {
+	return &Runner{plan: jobs.New(t, 0, rand.Uint64()), start: time.Now(), failed: failed, asks: make(chan int, 16), dones: make(chan done)}
 }
 
 func (r *Runner) now() float64 { return time.Since(r.start).Seconds() }
 
 // Add a job. ask asks for a run and never waits: one that finds the queue full is lost, as many are asked for then.
-func (r *Runner) Add(j background.Job, w Work) (ask func()) {
+func (r *Runner) Add(j jobs.Job, w Work) (ask func()) {
 	k := r.plan.Add(r.now(), j)
 	r.names, r.works = append(r.names, j.Name), append(r.works, w)
 	return func() {
@@ -137,7 +137,7 @@
 	before := cpu()
 	var m Meter
 	err := r.works[k](ctx, &m)
-	return done{k, background.Used{CPU: cpu() - before, Bytes: m.bytes, Failed: err != nil}, err}
+	return done{k, jobs.Used{CPU: cpu() - before, Bytes: m.bytes, Failed: err != nil}, err}
 }
 
 // cpu of this thread, in seconds.
--- a/internal/lines/lines.go
+++ b/internal/lineproto/lines.go
@@ -1,6 +1,6 @@
-// Package lines is the engines' protocol: lines of words ending in CR LF, some with a length and that many
+// Package lineproto is the engines' protocol: lines of words ending in CR LF, some with a length and that many
 // bytes and CR LF behind. It knows no socket.
-package lines
+package lineproto
 
 import (
 	"bytes"
--- a/internal/lines/lines_test.go
+++ b/internal/lineproto/lines_test.go
@@ -1,4 +1,4 @@
-package lines
+package lineproto
 
 import (
 	"fmt"
--- a/internal/show/chart.go
+++ b/internal/measure/chart.go
@@ -1,4 +1,4 @@
-package show
+package measure
 
 import (
 	"fmt"
--- a/internal/show/failover.go
+++ b/internal/measure/failover.go
@@ -1,4 +1,4 @@
-package show
+package measure
 
 import (
 	"encoding/json"
@@ -11,8 +11,8 @@
 
 	"dunereach/emulator/scenario"
 	"dunereach/emulator/zones"
-	"dunereach/failover"
-	"dunereach/internal/rig"
+	"dunereach/fleet/failover"
+	"dunereach/internal/faultrig"
 
 	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
@@ -222,7 +222,7 @@
 func zoneCut(bin string) ([]Row, error) {
 	type seen struct {
 		plan, back      float64
-		before, after   rig.Figures
+		before, after   faultrig.Figures
 		into, elsewhere int
 	}
 	var all [2]seen
@@ -235,7 +235,7 @@
 			}
 			defer os.RemoveAll(dir)
 			f := scenario.File{Name: "zones", Keepers: 3, Routers: 6, Zones: 3, Engines: 6, Lease: 2, Drift: 0.05}
-			r, err := rig.NewWith(f, rig.Options{Warm: true, Linked: true, Cores: 8, Work: 0.01, Clients: []int{8, 8, 8, 8, 8, 8}, Works: works}, bin, dir, nil)
+			r, err := faultrig.NewWith(f, faultrig.Options{Warm: true, Linked: true, Cores: 8, Work: 0.01, Clients: []int{8, 8, 8, 8, 8, 8}, Works: works}, bin, dir, nil)
 			if err != nil {
 				return err
 			}
--- a/internal/show/owner.go
+++ b/internal/measure/owner.go
@@ -1,4 +1,4 @@
-package show
+package measure
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 	"sync"
 	"time"
 
-	"dunereach/emulator/explore"
 	fleetworld "dunereach/emulator/fleet"
+	"dunereach/emulator/modelcheck"
 	"dunereach/emulator/scenario"
+	"dunereach/fleet/agent"
+	"dunereach/internal/agentdriver"
 	"dunereach/internal/boottime"
-	"dunereach/internal/fleet"
-	"dunereach/internal/keeper"
-	"dunereach/internal/rig"
-	"dunereach/member"
+	"dunereach/internal/coordserver"
+	"dunereach/internal/faultrig"
 
 	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
@@ -39,7 +39,7 @@
 		func() ([]Row, error) { return virtual(12) },
 		func() ([]Row, error) { return keepersLost(bin) },
 		func() ([]Row, error) { return sessions(bin, 300) },
-		func() ([]Row, error) { return walk(explore.Short) },
+		func() ([]Row, error) { return walk(modelcheck.Short) },
 		func() ([]Row, error) { return atRest(bin) },
 	)
 	if err != nil {
@@ -169,12 +169,12 @@
 }
 
 // started is a rig whose processes run.
-func started(f scenario.File, bin string, load bool) (*rig.Rig, func(), error) {
+func started(f scenario.File, bin string, load bool) (*faultrig.Rig, func(), error) {
 	dir, err := os.MkdirTemp("", "dunerig")
 	if err != nil {
 		return nil, nil, err
 	}
-	r, err := rig.New(f, bin, dir, nil)
+	r, err := faultrig.New(f, bin, dir, nil)
 	if err != nil {
 		os.RemoveAll(dir)
 		return nil, nil, err
@@ -195,7 +195,7 @@
 func handOver(bin string) ([]Row, error) {
 	const rigs, seconds = 2, 18.0
 	gaps := map[string][]float64{}
-	var all rig.Figures
+	var all faultrig.Figures
 	var mu sync.Mutex
 	var group errgroup.Group
 	for k := range rigs {
@@ -278,7 +278,7 @@
 // keepersLost compares a fleet whose keepers are all killed with one whose keepers stay.
 func keepersLost(bin string) ([]Row, error) {
 	const before, after = 7 * time.Second, 14 * time.Second // deals are out; leases and pledges run out, and time beyond
-	var figures [2]rig.Figures
+	var figures [2]faultrig.Figures
 	var group errgroup.Group
 	for k := range figures {
 		group.Go(func() error {
@@ -316,14 +316,14 @@
 
 // sessions opens so many with real keepers and tells what they cost: idle, and with four cold engines to deal out.
 func sessions(bin string, many int) ([]Row, error) {
-	r, end, err := func() (*rig.Rig, func(), error) {
+	r, end, err := func() (*faultrig.Rig, func(), error) {
 		dir, err := os.MkdirTemp("", "dunerig")
 		if err != nil {
 			return nil, nil, err
 		}
 		f := fleetOf("sessions", 1, 1)
 		f.Lease = 4
-		r, err := rig.New(f, bin, dir, nil)
+		r, err := faultrig.New(f, bin, dir, nil)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -337,14 +337,14 @@
 	defer cancel()
 	var cold sync.Map // whether there are cold engines: "on"
 	group, ctx := errgroup.WithContext(ctx)
-	var clients []*keeper.Client
+	var clients []*coordserver.Client
 	opened := make(chan bool, many)
 	for n := range many {
-		c := keeper.NewClient(r.Fronts(), "")
+		c := coordserver.NewClient(r.Fronts(), "")
 		clients = append(clients, c)
-		m := member.New(member.Config{Name: fmt.Sprint("s", n+1), Zone: fmt.Sprint("z", n%2+1), Incarnation: uint64(n + 1), Seed: uint64(n + 77),
-			Stands: []string{member.Warmth}, Members: many, Window: 1, Began: boottime.Now(), Clean: true}, member.Kept{})
-		d := fleet.NewDriver(m, c)
+		m := agent.New(agent.Config{Name: fmt.Sprint("s", n+1), Zone: fmt.Sprint("z", n%2+1), Incarnation: uint64(n + 1), Seed: uint64(n + 77),
+			Stands: []string{agent.Warmth}, Members: many, Window: 1, Began: boottime.Now(), Clean: true}, agent.Kept{})
+		d := agentdriver.NewDriver(m, c)
 		d.Run(ctx, group)
 		group.Go(func() error {
 			tick := time.NewTicker(100 * time.Millisecond)
@@ -357,10 +357,10 @@
 				case take := <-d.News():
 					take()
 				case <-tick.C:
-					var demand member.Demand
+					var demand agent.Demand
 					if _, on := cold.Load("on"); on {
 						for e := range 4 {
-							demand.Cold = append(demand.Cold, member.Cold{Engine: member.Engine{ID: uint32(e + 1), Start: 1}, Need: 2 / float64(many)})
+							demand.Cold = append(demand.Cold, agent.Cold{Engine: agent.Engine{ID: uint32(e + 1), Start: 1}, Need: 2 / float64(many)})
 						}
 					}
 					now := boottime.Now()
@@ -430,9 +430,9 @@
 	}, nil
 }
 
-func walk(b explore.Bounds) ([]Row, error) {
+func walk(b modelcheck.Bounds) ([]Row, error) {
 	began := time.Now()
-	states, whole, err := explore.Walk(b)
+	states, whole, err := modelcheck.Walk(b)
 	wrong := 0.0
 	if err != nil {
 		wrong = 1
@@ -459,7 +459,7 @@
 		defer os.RemoveAll(dir)
 		f := fleetOf("at rest", 1, 1)
 		f.Keepers = k
-		r, err := rig.New(f, bin, dir, nil)
+		r, err := faultrig.New(f, bin, dir, nil)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/show/show.go
+++ b/internal/measure/show.go
@@ -1,6 +1,6 @@
-// Package show measures subsystems on virtual time, each in under a minute, and says whether they hold: rows of figure,
+// Package measure measures subsystems on virtual time, each in under a minute, and says whether they hold: rows of figure,
 // value and bound.
-package show
+package measure
 
 import (
 	"fmt"
--- a/internal/private/private.go
+++ b/internal/netaddr/private.go
@@ -1,5 +1,5 @@
-// Package private tells which addresses the fleet's own talk may use.
-package private
+// Package netaddr tells which addresses the fleet's own talk may use.
+package netaddr
 
 import (
 	"fmt"
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,8 +9,8 @@
 	"os"
 	"slices"
 
-	"dunereach/budgets"
-	"dunereach/internal/private"
+	"dunereach/fairshare"
+	"dunereach/internal/netaddr"
 )
 
 // Variable names the file where no flag does.
@@ -86,7 +86,7 @@
 		}
 	}
 	for k, a := range f.Keepers {
-		if err := private.Check(a); err != nil {
+		if err := netaddr.Check(a); err != nil {
 			return fmt.Errorf("/fleet/keepers/%d: %v", k, err)
 		}
 	}
@@ -121,7 +121,7 @@
 }
 
 // Spec is what the file says of teams, as package budgets takes it; tenants are the settings' names.
-func (f *File) Spec(tenants []string) (s budgets.Spec, err error) {
+func (f *File) Spec(tenants []string) (s fairshare.Spec, err error) {
 	or := func(p *float64, standard float64) float64 {
 		if p == nil {
 			return standard
@@ -132,13 +132,13 @@
 	if f.Budgets != nil {
 		b = *f.Budgets
 	}
-	s = budgets.Spec{Default: b.Default, ByCall: b.ByCall, Turns: b.Turns == nil || *b.Turns,
+	s = fairshare.Spec{Default: b.Default, ByCall: b.ByCall, Turns: b.Turns == nil || *b.Turns,
 		Ageing:  or(b.Ageing, 0.1), // behind an endless flood of their own team 0.34 of reports left at 0.07, 0.74 here, 0.95 at 0.14
 		Changes: or(b.Changes, 20), // a second: some hundred sends run, and a wave of some seconds may lower each
 		// Lowered work that spills holds its memory for longer than what it gives up is worth.
 		GuardSpill: b.GuardSpill == nil || *b.GuardSpill}
 	for i, t := range f.Teams {
-		n := budgets.Node{Name: t.Name, Under: t.Under, Weight: t.Weight, Floor: t.Floor, Ceiling: t.Ceiling, Burst: t.Burst}
+		n := fairshare.Node{Name: t.Name, Under: t.Under, Weight: t.Weight, Floor: t.Floor, Ceiling: t.Ceiling, Burst: t.Burst}
 		for k, name := range t.Tenants {
 			tenant := slices.Index(tenants, name)
 			if tenant < 0 {
--- a/internal/router/knows.go
+++ b/internal/router/knows.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"dunereach/brain"
-	"dunereach/memory"
-	"dunereach/waits"
+	"dunereach/admission"
+	"dunereach/waittime"
+	"dunereach/warmstart"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -23,26 +23,26 @@
 }
 
 // Quick is what changes fast, and Slow the rest.
-func (r *Router) Quick() (q memory.Quick) {
+func (r *Router) Quick() (q warmstart.Quick) {
 	q.Known = r.mind.Knows()
 	q.Known.Profiles = nil
 	if r.teams != nil {
 		for name, ahead := range r.teams.Levels() {
-			q.Teams = append(q.Teams, memory.Team{Name: name, Ahead: ahead})
+			q.Teams = append(q.Teams, warmstart.Team{Name: name, Ahead: ahead})
 		}
 	}
 	q.Serial = r.serial
 	return q
 }
 
-func (r *Router) Slow() (profiles []memory.Profile, all []memory.Wait) {
+func (r *Router) Slow() (profiles []warmstart.Profile, all []warmstart.Wait) {
 	profiles = r.mind.Knows().Profiles
 	book := r.set.Brain.Waits
 	if book == nil {
 		return profiles, nil
 	}
 	for _, l := range book.Learned() {
-		w := memory.Wait{Profile: l.Profile}
+		w := warmstart.Wait{Profile: l.Profile}
 		if l.Team >= 0 {
 			if r.teams == nil {
 				continue // it would stand for all teams
@@ -50,7 +50,7 @@
 			w.Team = r.teams.Name(l.Team)
 		}
 		for _, c := range l.Of {
-			w.Of = append(w.Of, memory.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev})
+			w.Of = append(w.Of, warmstart.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev})
 		}
 		all = append(all, w)
 	}
@@ -59,11 +59,11 @@
 
 // Prints of profiles and tenants as they are.
 func (r *Router) Prints() (settings []uint64, rates []float64) {
-	return brain.Fingerprints(r.set.Brain.Profiles), r.set.Brain.Rates()
+	return admission.Fingerprints(r.set.Brain.Profiles), r.set.Brain.Rates()
 }
 
 // Recall has the router start with what is believed.
-func (r *Router) Recall(x memory.Recalled) {
+func (r *Router) Recall(x warmstart.Recalled) {
 	r.set.Brain.Memory = &x.Beliefs
 	if r.teams != nil {
 		r.teams.Owe(x.Teams)
@@ -72,9 +72,9 @@
 	if book == nil {
 		return
 	}
-	var all []waits.Learned
+	var all []waittime.Learned
 	for _, w := range x.Waits {
-		l := waits.Learned{Team: -1, Profile: w.Profile}
+		l := waittime.Learned{Team: -1, Profile: w.Profile}
 		if w.Team != "" {
 			team, ok := 0, false
 			if r.teams != nil {
@@ -87,7 +87,7 @@
 		}
 		for n, c := range w.Of {
 			if n < len(l.Of) {
-				l.Of[n] = waits.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev}
+				l.Of[n] = waittime.Correction{N: c.N, Q50: c.Q50, Q90: c.Q90, Dev: c.Dev}
 			}
 		}
 		all = append(all, l)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,14 +7,14 @@
 	"strconv"
 	"strings"
 
-	"dunereach/brain"
-	"dunereach/budgets"
-	"dunereach/internal/engines"
-	"dunereach/internal/front"
+	"dunereach/admission"
+	"dunereach/fairshare"
+	"dunereach/internal/backends"
+	"dunereach/internal/frontend"
 	"dunereach/internal/settings"
-	"dunereach/internal/sockets"
 	"dunereach/internal/statement"
-	"dunereach/waits"
+	"dunereach/internal/transport"
+	"dunereach/waittime"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -22,12 +22,12 @@
 
 // command is one that a client is owed an answer for, or that still has a send out.
 type command struct {
-	client front.Caller
+	client frontend.Caller
 	seq    int32
 	dueBy  float64
-	told   front.Told
+	told   frontend.Told
 	taken  float64
-	job    engines.Job // its latest send; id, statement and priority are the command's
+	job    backends.Job // its latest send; id, statement and priority are the command's
 }
 
 // over: the client has its answer, or has left.
@@ -36,8 +36,8 @@
 // Router hosts the module. All its methods are the owner's goroutine's.
 type Router struct {
 	set    settings.Settings
-	mind   *brain.Brain
-	pool   *engines.Pool
+	mind   *admission.Brain
+	pool   *backends.Pool
 	log    *zap.Logger
 	names  func(engine uint32) string
 	now    float64
@@ -49,15 +49,15 @@
 	owed   int // commands whose client waits
 	held   int // bytes of their statements
 	budget int
-	halves int                      // bytes of messages that are not whole
-	refs   map[engines.Ref]struct{} // ids that a client waits under
-	ending bool                     // asked to end: no front should count on this router
+	halves int                       // bytes of messages that are not whole
+	refs   map[backends.Ref]struct{} // ids that a client waits under
+	ending bool                      // asked to end: no front should count on this router
 	listed bool
 	profs  map[string]int
 	tens   map[string]int
-	teams  *budgets.Tree // nil: there are none
-	tells  bool          // clients are told of waits
-	serial uint32        // of the list of engines
+	teams  *fairshare.Tree // nil: there are none
+	tells  bool            // clients are told of waits
+	serial uint32          // of the list of engines
 }
 
 const noPriority = 1 // what a send has that was given none
@@ -65,7 +65,7 @@
 // New makes a router that has yet to be told of its engines and of the time.
 func New(set settings.Settings, budget int, log *zap.Logger, names func(uint32) string) *Router {
 	r := &Router{set: set, log: log, names: names, budget: budget,
-		cmds: map[uint32]*command{}, refs: map[engines.Ref]struct{}{}, profs: map[string]int{}, tens: map[string]int{}}
+		cmds: map[uint32]*command{}, refs: map[backends.Ref]struct{}{}, profs: map[string]int{}, tens: map[string]int{}}
 	// What needs probes, word from other routers or asking for the list is not there: the list comes unasked.
 	r.set.Brain.Peers, r.set.Brain.ProbeLoads, r.set.Brain.Ask = false, false, false
 	for k, name := range set.Profiles {
@@ -78,15 +78,17 @@
 }
 
 // Teams has the router keep budgets from its start on.
-func (r *Router) Teams(t *budgets.Tree, ageing float64) {
+func (r *Router) Teams(t *fairshare.Tree, ageing float64) {
 	r.teams, r.set.Brain.Teams, r.set.Brain.Ageing = t, t, ageing
 }
 
 // Waits has the router tell its clients of waits, or only use and audit them itself.
-func (r *Router) Waits(b *waits.Book, tell bool) { r.set.Brain.Waits, r.tells = b, tell }
+func (r *Router) Waits(b *waittime.Book, tell bool) { r.set.Brain.Waits, r.tells = b, tell }
 
 // Fleet has the router take part in what others agree on.
-func (r *Router) Fleet(f brain.Fleet, p brain.Plan) { r.set.Brain.Fleet, r.set.Brain.Plan = f, p }
+func (r *Router) Fleet(f admission.Fleet, p admission.Plan) {
+	r.set.Brain.Fleet, r.set.Brain.Plan = f, p
+}
 
 // Audit says what became of the waits that were promised since the last time, and how many calls named teams that are
 // none.
@@ -100,8 +102,8 @@
 	if book == nil {
 		return
 	}
-	for _, k := range [...]waits.Kind{waits.Start, waits.Answer, waits.Return} {
-		book.Audit(k, func(team int, f waits.Figures) {
+	for _, k := range [...]waittime.Kind{waittime.Start, waittime.Answer, waittime.Return} {
+		book.Audit(k, func(team int, f waittime.Figures) {
 			name := ""
 			if r.teams != nil {
 				name = r.teams.Name(team)
@@ -113,10 +115,10 @@
 }
 
 // Start brings the module to life.
-func (r *Router) Start(now float64, pool *engines.Pool) {
+func (r *Router) Start(now float64, pool *backends.Pool) {
 	r.pool = pool
 	r.at(now)
-	r.mind = brain.New(r.set.Brain, now, r)
+	r.mind = admission.New(r.set.Brain, now, r)
 }
 
 // at sets the time for what comes next.
@@ -126,14 +128,14 @@
 }
 
 // Deliver hands over what a connection brought.
-func (r *Router) Deliver(now float64, e sockets.Entry) {
+func (r *Router) Deliver(now float64, e transport.Entry) {
 	r.at(now)
 	e.Deliver()
 	r.pool.Settle()
 }
 
 // Members tells of the list.
-func (r *Router) Members(now float64, scope brain.Scope, list []brain.Entry, tell func()) {
+func (r *Router) Members(now float64, scope admission.Scope, list []admission.Entry, tell func()) {
 	r.at(now)
 	r.listed = r.listed || len(list) > 0
 	tell() // the connections first: what must not be sent any more is taken back
@@ -149,7 +151,7 @@
 		if t.what == wake {
 			r.mind.Woken(r.now, t.token)
 		} else if c := r.cmds[uint32(t.token)]; c != nil && c.job.Out() && c.job.Number == int(t.token>>32) {
-			r.pool.GiveUp(&c.job, brain.TimedOut)
+			r.pool.GiveUp(&c.job, admission.TimedOut)
 		}
 		r.pool.Settle()
 	}
@@ -170,7 +172,7 @@
 func (r *Router) Ready() bool { return r.listed && !r.ending }
 
 // Take takes a command in, unless it can't be one.
-func (r *Router) Take(client front.Caller, seq int32, a *front.Ask) {
+func (r *Router) Take(client frontend.Caller, seq int32, a *frontend.Ask) {
 	profile, ok := r.profs[string(a.Profile)]
 	tenant, known := r.tens[string(a.Tenant)]
 	if !ok || !known && len(r.tens) > 0 {
@@ -200,7 +202,7 @@
 	if r.set.Longest > 0 { // no client waits longer, and nothing may be kept for longer
 		a.Allow = min(a.Allow, r.set.Longest)
 	}
-	*c = command{client: client, seq: seq, taken: r.now, dueBy: r.now + a.Allow, job: engines.Job{ID: r.lastID, Number: -1, Ref: a.Ref,
+	*c = command{client: client, seq: seq, taken: r.now, dueBy: r.now + a.Allow, job: backends.Job{ID: r.lastID, Number: -1, Ref: a.Ref,
 		Profile: r.set.Profiles[profile], Statement: append(c.job.Statement[:0], a.Statement...), Token: append(c.job.Token[:0], a.Token...), Level: noPriority,
 		Pages: c.job.Pages}}
 	r.cmds[c.job.ID], r.refs[a.Ref] = c, struct{}{}
@@ -212,7 +214,7 @@
 	if r.teams != nil {
 		team = r.teams.Of(tenant, a.Team)
 	}
-	r.mind.Command(r.now, brain.Command{ID: c.job.ID, Team: team, Mark: r.mark(a), Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
+	r.mind.Command(r.now, admission.Command{ID: c.job.ID, Team: team, Mark: r.mark(a), Profile: profile, Tenant: tenant, TimeLeft: a.Allow, Cost: a.Effort,
 		Memory: a.Memory, Area: area, Key: key(a.Key)})
 }
 
@@ -225,7 +227,7 @@
 }
 
 // mark is the same for a client's tries of one command: those have new ids, but say the same.
-func (r *Router) mark(a *front.Ask) uint64 {
+func (r *Router) mark(a *frontend.Ask) uint64 {
 	if r.set.Brain.Waits == nil {
 		return 0
 	}
@@ -286,25 +288,25 @@
 
 // What engines tell.
 
-func (r *Router) Ended(j *engines.Job, end brain.End) {
+func (r *Router) Ended(j *backends.Job, end admission.End) {
 	c := r.cmds[j.ID]
-	if end == brain.Answered && !c.over() {
+	if end == admission.Answered && !c.over() {
 		c.client.Answered(c.seq, j.Pages, r.told(c))
 		r.over(c)
 	}
-	o := brain.Outcome{ID: j.ID, Engine: j.Engine, Send: j.Number, End: end, Unsent: j.Unsent, Lag: r.now - j.At, Over: c.over()}
-	if end == brain.Answered {
+	o := admission.Outcome{ID: j.ID, Engine: j.Engine, Send: j.Number, End: end, Unsent: j.Unsent, Lag: r.now - j.At, Over: c.over()}
+	if end == admission.Answered {
 		o.Work, o.Memory = j.Work, j.Memory
 	}
 	r.mind.Outcome(r.now, o)
 	r.release(c)
 }
 
-func (r *Router) Noted(j *engines.Job, kind brain.NoteKind, value float64) {
-	r.mind.Note(r.now, brain.Note{ID: j.ID, Engine: j.Engine, Send: j.Number, Kind: kind, Value: value})
+func (r *Router) Noted(j *backends.Job, kind admission.NoteKind, value float64) {
+	r.mind.Note(r.now, admission.Note{ID: j.ID, Engine: j.Engine, Send: j.Number, Kind: kind, Value: value})
 }
 
-func (r *Router) Lost(engine uint32, how sockets.Ending) {
+func (r *Router) Lost(engine uint32, how transport.Ending) {
 	r.log.Info("connection lost", zap.String("engine", r.names(engine)), zap.Stringer("how", how))
 }
 
@@ -348,7 +350,7 @@
 
 func (r *Router) Cancel(id uint32, send int) {
 	if c := r.cmds[id]; c != nil && c.job.Number == send {
-		r.pool.GiveUp(&c.job, brain.Cancelled)
+		r.pool.GiveUp(&c.job, admission.Cancelled)
 	}
 }
 
@@ -376,14 +378,14 @@
 func (r *Router) Tell(int, []byte) {}
 func (r *Router) Watch(bool)       {}
 
-func (r *Router) Told(id uint32, k waits.Kind, e waits.Estimate) {
-	if c := r.cmds[id]; c != nil && k != waits.Start { // clients are told of answers and returns
+func (r *Router) Told(id uint32, k waittime.Kind, e waittime.Estimate) {
+	if c := r.cmds[id]; c != nil && k != waittime.Start { // clients are told of answers and returns
 		c.told.P50, c.told.P90 = e.P50, e.P90
 	}
 }
 
 // told is what the client gets to know of a command's wait, nil: nothing.
-func (r *Router) told(c *command) *front.Told {
+func (r *Router) told(c *command) *frontend.Told {
 	if !r.tells {
 		return nil
 	}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -10,14 +10,14 @@
 	"reflect"
 	"time"
 
-	"dunereach/brain"
-	"dunereach/budgets"
+	"dunereach/admission"
+	"dunereach/fairshare"
+	"dunereach/internal/backends"
 	"dunereach/internal/config"
-	"dunereach/internal/engines"
-	"dunereach/internal/front"
-	"dunereach/internal/members"
-	"dunereach/internal/sockets"
-	"dunereach/waits"
+	"dunereach/internal/discovery"
+	"dunereach/internal/frontend"
+	"dunereach/internal/transport"
+	"dunereach/waittime"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -36,14 +36,14 @@
 
 func (c clock) now() float64 { return c.unix + time.Since(c.start).Seconds() }
 
-// Fleet is this router's part in the fleet (internal/fleet has one). All but News is called by the owner's goroutine and waits
+// Fleet is this router's part in the fleet (internal/agentdriver has one). All but News is called by the owner's goroutine and waits
 // for nothing.
 type Fleet interface {
-	brain.Fleet
-	Plan() brain.Plan                               // nil: there is none
+	admission.Fleet
+	Plan() admission.Plan                           // nil: there is none
 	Run(ctx context.Context, group *errgroup.Group) // its goroutines end with the context
 	News() <-chan func()                            // to be called by the owner's goroutine
-	Tick(now float64, mind *brain.Brain)            // some ten times a second
+	Tick(now float64, mind *admission.Brain)        // some ten times a second
 	End(now float64)                                // the works are given back at once
 }
 
@@ -53,9 +53,9 @@
 	cfg      config.Config
 	clock    clock
 	log      *zap.Logger
-	list     *members.Follower
-	net      *sockets.Net
-	inbox    sockets.Inbox
+	list     *discovery.Follower
+	net      *transport.Net
+	inbox    transport.Inbox
 	arrivals chan net.Conn
 	accepted chan struct{} // closed: no more arrive
 	answers  chan datagram
@@ -64,7 +64,7 @@
 	askedAt  float64      // when ask was opened
 	group    *errgroup.Group
 	ctx      context.Context
-	sessions map[*front.Session]struct{}
+	sessions map[*frontend.Session]struct{}
 	scratch  []byte // answers are put together here
 	ticks    int
 	tidied   int     // seconds
@@ -84,9 +84,9 @@
 // Serve runs a router until the context ends it at once, or a stop ends it once all is answered. What of a
 // renewed configuration can change while it runs is taken over.
 func Serve(ctx context.Context, stop <-chan struct{}, renewed <-chan config.Config, cfg config.Config, fleet Fleet, state State, log *zap.Logger) error {
-	s := &service{fleet: fleet, state: state, cfg: cfg, clock: newClock(), log: log, list: members.New(cfg.Settings.Zones, cfg.Settings.Kinds),
-		inbox: make(sockets.Inbox, 256), arrivals: make(chan net.Conn), accepted: make(chan struct{}), answers: make(chan datagram),
-		sessions: map[*front.Session]struct{}{}}
+	s := &service{fleet: fleet, state: state, cfg: cfg, clock: newClock(), log: log, list: discovery.New(cfg.Settings.Zones, cfg.Settings.Kinds),
+		inbox: make(transport.Inbox, 256), arrivals: make(chan net.Conn), accepted: make(chan struct{}), answers: make(chan datagram),
+		sessions: map[*frontend.Session]struct{}{}}
 	if _, err := s.list.Start(cfg.Known); err != nil {
 		return err
 	}
@@ -105,17 +105,17 @@
 	}
 	// A quarter of the memory for answers on their way out, and one for statements in hand; half of that for messages
 	// that are not whole yet.
-	s.net = sockets.NewNet(ctx, group, s.inbox, memory/4, int64(max(s.descriptors()/16, 1)))
+	s.net = transport.NewNet(ctx, group, s.inbox, memory/4, int64(max(s.descriptors()/16, 1)))
 	s.Router = New(cfg.Settings, int(memory/4), log, s.list.Name)
 	if len(cfg.Budgets.Nodes) > 0 {
-		teams, err := budgets.New(cfg.Budgets, s.clock.now())
+		teams, err := fairshare.New(cfg.Budgets, s.clock.now())
 		if err != nil {
 			return err
 		}
 		s.Teams(teams, cfg.Budgets.Ageing)
 	}
 	if w := cfg.Operator.Waits; w != nil {
-		s.Waits(waits.New(len(cfg.Settings.Profiles), cfg.Settings.Brain.MaxPause), w.Fields)
+		s.Waits(waittime.New(len(cfg.Settings.Profiles), cfg.Settings.Brain.MaxPause), w.Fields)
 	}
 	if fleet != nil {
 		s.Router.Fleet(fleet, fleet.Plan())
@@ -211,7 +211,7 @@
 	if fresh, err := s.list.Start(c.Known); err != nil {
 		s.log.Error("list of engines in the new configuration", zap.Error(err))
 	} else if fresh {
-		s.members(brain.Full)
+		s.members(admission.Full)
 	}
 	if c.NameServer != s.cfg.NameServer {
 		was := [...]*net.UDPConn{s.ask, s.askedBy} // their answers count no more
@@ -309,13 +309,13 @@
 // own is the owner's goroutine.
 func (s *service) own(stop <-chan struct{}, renewed <-chan config.Config, listener *net.TCPListener) error {
 	descriptors := s.descriptors()
-	pool := engines.New(s.Router, engines.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(descriptors/3, 1),
+	pool := backends.New(s.Router, backends.Limits{Streams: max(s.cfg.Settings.Streams, 1), Conns: max(descriptors/3, 1),
 		Idle: s.cfg.Settings.ConnIdle,
 		// An engine sends an answer in one go: a pause longer than a connection takes to come up is its end.
 		Stall: s.cfg.Settings.ConnectTimeout}, s.dial)
 	s.heardAt = s.clock.now()
 	s.Router.Start(s.heardAt, pool)
-	s.members(brain.Cached)
+	s.members(admission.Cached)
 	if s.state != nil {
 		defer s.state.End(s.Router)
 	}
@@ -324,7 +324,7 @@
 
 	// An event counts as told 1.5 s after it happened, heard or not. A question every third tick hears of it well
 	// before; while one has no answer every tick asks, so that a dozen may be lost.
-	const tick, askEvery = engines.UnstickEvery * 1000 * time.Millisecond, 3
+	const tick, askEvery = backends.UnstickEvery * 1000 * time.Millisecond, 3
 	asking := time.NewTicker(tick)
 	defer asking.Stop()
 	tidying := time.NewTicker(time.Second)
@@ -434,7 +434,7 @@
 	}
 	// 32 open calls have 1.5 MB of results at most.
 	const limit = 2 << 20
-	c := front.NewSession(s, &s.scratch)
+	c := frontend.NewSession(s, &s.scratch)
 	line := s.net.New(c, limit)
 	c.Line = line
 	s.sessions[c] = struct{}{}
@@ -446,7 +446,7 @@
 
 // letGo closes the connection that can best be spared.
 func (s *service) letGo() bool {
-	var spare *front.Session
+	var spare *frontend.Session
 	best := -1
 	for c := range s.sessions {
 		if rank, ok := c.Spare(); ok && rank > best {
@@ -474,9 +474,9 @@
 	}
 }
 
-func (s *service) Closed(c *front.Session) { delete(s.sessions, c) }
+func (s *service) Closed(c *frontend.Session) { delete(s.sessions, c) }
 
-func (s *service) dial(addr netip.AddrPort, sink sockets.Sink) engines.Line {
+func (s *service) dial(addr netip.AddrPort, sink transport.Sink) backends.Line {
 	// A hundred statements; an engine that takes nothing for longer is as good as silent.
 	const limit = 4 << 20
 	line := s.net.New(sink, limit)
@@ -500,11 +500,11 @@
 	}
 	if fresh {
 		s.log.Info("list of engines", zap.Uint32("rev", s.list.Rev()), zap.Int("engines", len(s.list.List())))
-		s.members(brain.Full)
+		s.members(admission.Full)
 	}
 }
 
-func (s *service) members(scope brain.Scope) {
+func (s *service) members(scope admission.Scope) {
 	s.serial = s.list.Rev()
 	s.Members(s.clock.now(), scope, s.list.List(), func() { s.pool.Members(s.list.List(), s.list.Addr) })
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,14 +6,14 @@
 	"fmt"
 	"slices"
 
-	"dunereach/brain"
+	"dunereach/admission"
 )
 
 const ms = 1e-3
 
 // Settings are the module's, and what only its surroundings act on.
 type Settings struct {
-	Brain          brain.Settings
+	Brain          admission.Settings
 	LoadFields     []string // order of load report values
 	Profiles       []string // names, in the order of the module's numbers
 	Tenants        []string
@@ -65,12 +65,12 @@
 	}
 }
 
-var effects = map[string]brain.Effect{
-	"safe": brain.Replayable, "keyed": brain.Uniqued, "unsafe": brain.NonReplayable,
+var effects = map[string]admission.Effect{
+	"safe": admission.Replayable, "keyed": admission.Uniqued, "unsafe": admission.NonReplayable,
 }
 
-var groups = map[string]brain.Group{
-	"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell,
+var groups = map[string]admission.Group{
+	"": admission.GroupAll, "all": admission.GroupAll, "zone": admission.GroupZone, "cell": admission.GroupCell,
 }
 
 // negative finds a figure that can't be under zero and is, and tells where it stands.
@@ -121,7 +121,7 @@
 		ConnIdle: b.Limits.ConnIdle * ms, ConnectTimeout: b.Limits.ConnectTimeout * ms,
 		Streams: b.Limits.MaxStreams, Open: b.Limits.OpenCap,
 	}
-	all.Brain = brain.Settings{
+	all.Brain = admission.Settings{
 		Seed: seed, Me: b.Me, Routers: max(b.Balancers, 1), Zone: b.MyZone, Tick: b.Tick * ms,
 		OverShareBenefit: b.OverShareWorth, KindCores: b.FamilyInfo.CpuOfKind, Ask: b.Discovery == "ask",
 		Cancels: b.Limits.Cancel, Peers: b.Limits.Peers,
@@ -147,7 +147,7 @@
 	}
 	for _, t := range b.Realms {
 		all.Tenants = append(all.Tenants, t.Name)
-		s.Tenants = append(s.Tenants, brain.Tenant{QuotaPerS: t.QuotaPerS})
+		s.Tenants = append(s.Tenants, admission.Tenant{QuotaPerS: t.QuotaPerS})
 	}
 	for i, c := range b.Classes {
 		effect, ok := effects[c.Effect]
@@ -155,7 +155,7 @@
 		if !ok || !ok2 {
 			return all, fmt.Errorf("settings: class %d has effect %q, group %q", i, c.Effect, c.Group)
 		}
-		p := brain.Profile{
+		p := admission.Profile{
 			Target: c.Aim * ms, Stretch: c.AimStretch, Benefit: c.Worth,
 			Effect: effect, Group: group, Window: c.DedupWindow * ms,
 			Ordered: c.ByArrival, Zones: c.RunsIn, Kinds: c.KindsOnly, Threads: 1,
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	bg "dunereach/background"
-	"dunereach/internal/background"
+	"dunereach/internal/jobrunner"
 	"dunereach/internal/operator"
 	"dunereach/internal/router"
 	"dunereach/internal/store"
-	"dunereach/memory"
+	bg "dunereach/jobs"
+	"dunereach/warmstart"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -37,11 +37,11 @@
 	set    operator.State
 	name   string
 	log    *zap.Logger
-	runner *background.Runner
+	runner *jobrunner.Runner
 	store  *store.Store // the jobs' alone, which run one at a time
 
-	latest atomic.Pointer[memory.Kept] // written by the owner, never changed after
-	quick  atomic.Pointer[memory.Quick]
+	latest atomic.Pointer[warmstart.Kept] // written by the owner, never changed after
+	quick  atomic.Pointer[warmstart.Quick]
 
 	began           time.Time
 	quickAt, slowAt float64 // the owner's
@@ -53,7 +53,7 @@
 	k := &Keeper{set: set, name: name, log: log, began: time.Now()}
 	k.set.Snapshot, k.set.Record = cmp.Or(set.Snapshot, everySnapshot), cmp.Or(set.Record, everyRecord)
 	k.set.MB, k.set.CPU, k.set.Bytes = cmp.Or(set.MB, standardMB), cmp.Or(set.CPU, standardCPU), cmp.Or(set.Bytes, standardBytes)
-	k.runner = background.New(bg.Terms{CPU: k.set.CPU, Bytes: k.set.Bytes, Late: lateness}, k.failed)
+	k.runner = jobrunner.New(bg.Terms{CPU: k.set.CPU, Bytes: k.set.Bytes, Late: lateness}, k.failed)
 	const folder = "folder"
 	k.runner.Add(bg.Job{Name: "snapshot", Level: 1, Resource: folder, Every: k.set.Snapshot, Deadline: k.set.Snapshot, Last: true}, k.snapshot)
 	k.runner.Add(bg.Job{Name: "journal", Level: 2, Resource: folder, Every: k.set.Record, Deadline: 2 * k.set.Record}, k.record)
@@ -93,7 +93,7 @@
 		}
 	}
 	settings, rates := m.Prints()
-	r := memory.Recall(kept, records, moment(), settings, rates)
+	r := warmstart.Recall(kept, records, moment(), settings, rates)
 	for _, why := range r.Why {
 		k.log.Info("not believed", zap.String("why", why))
 	}
@@ -136,7 +136,7 @@
 }
 
 func (k *Keeper) know(m *router.Router) {
-	kept := memory.Kept{At: moment()}
+	kept := warmstart.Kept{At: moment()}
 	kept.Profiles, kept.Waits = m.Slow()
 	k.latest.Store(&kept)
 }
@@ -148,7 +148,7 @@
 }
 
 // snapshot of the latest that is known.
-func (k *Keeper) snapshot(_ context.Context, meter *background.Meter) error {
+func (k *Keeper) snapshot(_ context.Context, meter *jobrunner.Meter) error {
 	kept, quick := k.latest.Load(), k.quick.Load()
 	if kept == nil || quick == nil {
 		return nil // nothing is known yet
@@ -171,7 +171,7 @@
 }
 
 // record what changes fast.
-func (k *Keeper) record(ctx context.Context, meter *background.Meter) error {
+func (k *Keeper) record(ctx context.Context, meter *jobrunner.Meter) error {
 	quick := k.quick.Load()
 	if quick == nil {
 		return nil
--- a/internal/state/words.go
+++ b/internal/state/words.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 
 	"dunereach/internal/store"
-	"dunereach/memory"
+	"dunereach/warmstart"
 
 	"github.com/spf13/cobra"
 )
@@ -20,18 +20,18 @@
 
 // look is what a folder has of one name.
 type look struct {
-	Name       string         `json:"name"`
-	Generation uint64         `json:"generation"`
-	Records    int            `json:"records"`
-	Cut        bool           `json:"cut_short"`
-	Passed     []string       `json:"passed_over,omitempty"`
-	Bytes      int64          `json:"bytes"`
-	Files      int            `json:"files"`
-	Age        float64        `json:"age_s"`
-	Old        float64        `json:"snapshot_age_s"`
-	Sure       bool           `json:"age_known"`
-	Kept       *memory.Kept   `json:"kept,omitempty"`
-	Quick      []memory.Quick `json:"records_since,omitempty"`
+	Name       string            `json:"name"`
+	Generation uint64            `json:"generation"`
+	Records    int               `json:"records"`
+	Cut        bool              `json:"cut_short"`
+	Passed     []string          `json:"passed_over,omitempty"`
+	Bytes      int64             `json:"bytes"`
+	Files      int               `json:"files"`
+	Age        float64           `json:"age_s"`
+	Old        float64           `json:"snapshot_age_s"`
+	Sure       bool              `json:"age_known"`
+	Kept       *warmstart.Kept   `json:"kept,omitempty"`
+	Quick      []warmstart.Quick `json:"records_since,omitempty"`
 	body       []byte
 	records    [][]byte
 }
--- a/internal/sockets/sockets.go
+++ b/internal/transport/sockets.go
@@ -1,6 +1,6 @@
-// Package sockets is the thin driver between connections and the one goroutine that owns all state: a reader
+// Package transport is the thin driver between connections and the one goroutine that owns all state: a reader
 // hands over what came and waits until it was taken; a writer sends what was appended. It knows no protocol.
-package sockets
+package transport
 
 import (
 	"context"
--- a/internal/sockets/sockets_test.go
+++ b/internal/transport/sockets_test.go
@@ -1,4 +1,4 @@
-package sockets
+package transport
 
 import (
 	"bytes"
--- a/background/background.go
+++ b/jobs/background.go
@@ -1,7 +1,7 @@
-// Package background decides which of a process's background jobs runs when: by level, within budgets of processor time and bytes,
+// Package jobs decides which of a process's background jobs runs when: by level, within budgets of processor time and bytes,
 // one at a time where they share a resource, later while the process's own work is late, and all the same once a deadline is
 // over. It does no I/O and knows no clock or goroutine: times are seconds of the caller's.
-package background
+package jobs
 
 import (
 	"math"
--- a/background/background_test.go
+++ b/jobs/background_test.go
@@ -1,4 +1,4 @@
-package background
+package jobs
 
 import (
 	"math"
--- a/trials/trials.go
+++ b/probing/trials.go
@@ -1,7 +1,7 @@
-// Package trials decides what a router makes of another's finding on an engine. One router tries a suspected engine for all;
+// Package probing decides what a router makes of another's finding on an engine. One router tries a suspected engine for all;
 // what it finds is a hint. A hint only moves the time of the trials that this router makes itself of an engine that it doubts
 // itself: nothing a lying or mistaken owner says makes an engine doubted, or trusted without a trial.
-package trials
+package probing
 
 // Finding is what an owner found of one start of an engine.
 type Finding struct {
--- a/trials/trials_test.go
+++ b/probing/trials_test.go
@@ -1,4 +1,4 @@
-package trials
+package probing
 
 import (
 	"testing"
--- a/waits/learned.go
+++ b/waittime/learned.go
@@ -1,4 +1,4 @@
-package waits
+package waittime
 
 // This file gives the corrections that were learned to a process that comes after this one, and takes them.
 
--- a/waits/waits.go
+++ b/waittime/waits.go
@@ -1,4 +1,4 @@
-// Package waits says how long commands wait, and keeps to it. It takes the module's own estimate (work ahead over places)
+// Package waittime says how long commands wait, and keeps to it. It takes the module's own estimate (work ahead over places)
 // as a base, corrects it by what then happened to commands of the same team and profile, and tells a median and a 90th
 // percentile. Refused clients are told a time each has to itself, and find the room that they were told of. It does no I/O
 // and knows no clock. Times are seconds.
@@ -7,7 +7,7 @@
 // Monro 1951; as an online guarantee of coverage: Gibbs and Candes, "Adaptive Conformal Inference Under Distribution
 // Shift", 2021): whatever the base leaves out, half of the waits come to lie under the median and nine in ten under the
 // 90th percentile.
-package waits
+package waittime
 
 import (
 	"cmp"
--- a/waits/waits_test.go
+++ b/waittime/waits_test.go
@@ -1,4 +1,4 @@
-package waits
+package waittime
 
 import (
 	"flag"
--- a/memory/memory.go
+++ b/warmstart/memory.go
@@ -1,7 +1,7 @@
-// Package memory decides what a router believes of what an earlier process of it knew: how old that is, what it is worth by now, and
+// Package warmstart decides what a router believes of what an earlier process of it knew: how old that is, what it is worth by now, and
 // what of it is kept at all. It does no I/O and knows no clock. Nothing that it gives can break a rule: beliefs are estimates, and
 // rules are kept by what is seen, whatever is estimated (docs/design/memory.md has the argument).
-package memory
+package warmstart
 
 import (
 	"fmt"
--- a/memory/recall_test.go
+++ b/warmstart/recall_test.go
@@ -1,4 +1,4 @@
-package memory
+package warmstart
 
 import (
 	"math"
