Log lines on attempts, retries, rejections, closes and servers' states

Change: the pool of connections reports changes of state, closes with their reason and writes to an observer; the router logs them with the request's id. Lines on every attempt are at level debug (DUNEREACH_LOG_LEVEL); off, they cost a check. No decision changes.

--- a/admission/api.go
+++ b/admission/api.go
@@ -144,6 +144,8 @@
 	Ready
 )
 
+func (s State) String() string { return [...]string{"gone", "draining", "ready"}[s] }
+
 // Scope of a list event.
 type Scope uint8
 
@@ -193,6 +195,10 @@
 	Moot
 )
 
+func (e End) String() string {
+	return [...]string{"answered", "error", "turned away", "timed out", "unreachable", "cut off", "cancelled", "moot"}[e]
+}
+
 // NeverRan tells whether the end proves that the engine did nothing.
 func (e End) NeverRan() bool { return e == TurnedAway || e == Unreachable || e == Moot }
 
--- a/cmd/dunekeep/main.go
+++ b/cmd/dunekeep/main.go
@@ -15,6 +15,7 @@
 	"dunereach/internal/seconds"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -84,7 +85,7 @@
 				writer.Run(ctx, os.Stderr)
 				return nil
 			})
-			err := coordserver.Serve(c.Context(), args[0], options, logs.New(writer))
+			err := coordserver.Serve(c.Context(), args[0], options, logs.New(writer, zap.InfoLevel))
 			done()
 			return errors.Join(err, group.Wait())
 		}}
--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -91,11 +91,15 @@
 	scratch []byte
 	now     float64
 	held    bool // no attempt is written
+
+	observer Observer
+	listed   bool // a list has come, so that changes are news
 }
 
 type engine struct {
 	addr  netip.AddrPort
 	state admission.State
+	was   admission.State // in the list before
 }
 
 type conn struct {
@@ -116,7 +120,8 @@
 
 // New makes a pool without servers; dial begins a connection to one.
 func New(owner Owner, limits Limits, dial func(netip.AddrPort, transport.Sink) Line) *Pool {
-	return &Pool{owner: owner, limits: limits, dial: dial, engines: map[uint32]*engine{}}
+	return &Pool{owner: owner, limits: limits, dial: dial, engines: map[uint32]*engine{},
+		observer: silence{}}
 }
 
 // At sets the time that calls go by.
@@ -126,7 +131,7 @@
 // written any more.
 func (p *Pool) Members(list []admission.Entry, addr func(uint32) netip.AddrPort) {
 	for _, e := range p.engines {
-		e.state = admission.Gone
+		e.was, e.state = e.state, admission.Gone
 	}
 	for _, n := range list {
 		e := p.engines[n.Engine]
@@ -144,35 +149,45 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) { // in order: equal input must act alike
 		e := p.engines[id]
+		withdrawn, running := 0, 0
 		if e.state != admission.Ready {
-			p.retire(id)
+			withdrawn, running = p.retire(id)
+		}
+		if p.listed && e.state != e.was {
+			p.observer.ServerChanged(id, e.was, e.state, withdrawn, running)
 		}
 		if e.state == admission.Gone {
 			delete(p.engines, id)
 		}
 	}
+	p.listed = true
 }
 
-func (p *Pool) retire(id uint32) {
+// retire ends what can be ended at a server that takes no more attempts. It returns how many attempts were withdrawn and how many go
+// on.
+func (p *Pool) retire(id uint32) (withdrawn, running int) {
 	for _, c := range p.conns {
 		if c.engine != id {
 			continue
 		}
-		c.retired = true
+		c.retireFor(ServerLeft)
 		if !c.up {
 			c.line.Drop()
 		}
 		for _, j := range c.jobs() {
 			if c.withdraw(j) {
 				p.endLater(j, admission.Unreachable)
+				withdrawn++
 			}
 		}
+		running += len(c.out)
 		c.rest()
 		const soon = 0.1 // seconds: a writer that is only behind has written by then, and no grace of a drain is over
 		if c.stuck() && c.stuckAt == 0 {
 			c.stuckAt = p.now + soon
 		}
 	}
+	return withdrawn, running
 }
 
 // withdraw takes a send back of which nothing has left, in one step with the question whether it has.
@@ -206,6 +221,7 @@
 		}
 		if c.stuckAt > 0 && p.now >= c.stuckAt {
 			if c.stuckAt = 0; c.stuck() {
+				p.observer.Closing(c.engine, Unwritten, len(c.out))
 				c.line.Drop()
 			}
 		}
@@ -298,6 +314,7 @@
 		return
 	}
 	j.sent = true
+	c.pool.observer.Writing(j)
 	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
 	c.pool.scratch = lineproto.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Token, j.Statement)
 	j.from, j.size = c.line.Append(c.pool.scratch), len(c.pool.scratch)
@@ -329,7 +346,9 @@
 			c.spend(j)
 		}
 		// One whose time ran out may be the connection's doing, not the engine's: nothing more is sent there.
-		c.retired = c.retired || end == admission.TimedOut
+		if end == admission.TimedOut {
+			c.retireFor(AttemptLate)
+		}
 	} else if c != nil {
 		j.Unsent = true
 	}
@@ -340,7 +359,7 @@
 func (c *conn) spend(j *Job) {
 	c.spent[j.Ref] = struct{}{}
 	if len(c.spent) >= 10*c.pool.limits.Streams { // ids of long ago must not pile up
-		c.retired = true
+		c.retireFor(IDsSpent)
 	}
 }
 
@@ -409,7 +428,7 @@
 	const share = 0.8 // of the time after which engines close: ahead by far more than any delay
 	for _, c := range p.conns {
 		if c.up && len(c.out) == 0 && p.now-c.usedAt > share*p.limits.Idle {
-			c.retired = true
+			c.retireFor(IdleLong)
 			c.rest()
 		}
 	}
@@ -436,13 +455,14 @@
 
 // bad: what came can't be read, or is not whole and doesn't go on. What is out here ends with the connection.
 func (c *conn) bad() {
-	c.broken, c.retired, c.halfAt = true, true, 0
+	c.broken, c.halfAt = true, 0
+	c.retireFor(Unreadable)
 	c.line.Bad()
 }
 
 func (c *conn) Ended(how transport.Ending) {
 	if how == transport.Finished { // an engine that closes its side answers no more, and reads nothing that leaves now
-		c.retired = true
+		c.retireFor(ServerClosed)
 		for _, j := range c.jobs() {
 			if c.withdraw(j) {
 				c.pool.endLater(j, admission.Moot)
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -16,7 +16,7 @@
 	if longest == nil {
 		return false
 	}
-	longest.retired = true
+	longest.retireFor(RoomNeeded)
 	longest.rest()
 	return true
 }
--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -68,6 +68,7 @@
   BALANCER_NAME        its name, in place of the file's
   BALANCER_LISTEN      address and port for clients, in place of the file's
   DUNEREACH_OPERATOR   the operators' own file; none: everything that it could name is off
+  DUNEREACH_LOG_LEVEL  debug: a line on every attempt, none left out; info, the default; warn; error
 
 With no command it serves. SIGHUP has it read both files again, SIGTERM ends it once all is answered.`,
 		Example: `  make demo                                              # a router with stand-ins for all it talks to
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -43,9 +43,13 @@
 	if mb := cfg.Limits.MemoryMB; mb > 0 { // the rest is for the kernel's buffers and the program itself
 		debug.SetMemoryLimit(int64(mb * (1 << 20) * 0.6))
 	}
+	level, err := logs.ParseLevel(os.Getenv(logs.LevelVariable))
+	if err != nil {
+		return err
+	}
 	writer := logs.NewWriter()
 	ctx, served := context.WithCancel(context.Background())
-	log := logs.New(writer)
+	log := logs.New(writer, level)
 	renewed := make(chan config.Config)
 	var fleet router.Fleet
 	if cfg.Operator.Fleet != nil {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -49,11 +49,30 @@
 	}
 }
 
+// LevelVariable names the environment variable for the least level that is logged; info where it is not set.
+const LevelVariable = "DUNEREACH_LOG_LEVEL"
+
+// ParseLevel reads a level of the log; "" is info.
+func ParseLevel(text string) (zapcore.Level, error) {
+	if text == "" {
+		return zap.InfoLevel, nil
+	}
+	level, err := zapcore.ParseLevel(text)
+	if err != nil {
+		return level, fmt.Errorf("%s: %v", LevelVariable, err)
+	}
+	return level, nil
+}
+
 // New is a logger of JSON lines. Of lines with the same message a second's first ten are kept, then each
-// hundredth: an engine's restart cuts that many connections, a storm of bad clients sends far more.
-func New(w io.Writer) *zap.Logger {
+// hundredth: an engine's restart cuts that many connections, a storm of bad clients sends far more. At level
+// debug all are kept, to follow single requests.
+func New(w io.Writer, level zapcore.Level) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.AddSync(w), zap.InfoLevel)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.AddSync(w), level)
+	if level <= zap.DebugLevel {
+		return zap.New(core)
+	}
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 10, 100))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,8 @@
 	told   frontend.Told
 	taken  float64
 	job    backends.Job // its latest send; id, statement and priority are the command's
+
+	lastEnd admission.End // of the attempt before, once there was one
 }
 
 // over: the client has its answer, or has left.
@@ -125,6 +127,7 @@
 // Start brings the module to life.
 func (r *Router) Start(now float64, pool *backends.Pool) {
 	r.pool = pool
+	pool.Observe(r)
 	r.at(now)
 	r.mind = admission.New(r.set.Brain, now, r)
 }
@@ -303,6 +306,8 @@
 // Ended takes the end of an attempt: a client that still waits gets the answer, and the module the outcome.
 func (r *Router) Ended(j *backends.Job, end admission.End) {
 	c := r.cmds[j.ID]
+	r.attemptEnded(c, end)
+	c.lastEnd = end
 	if end == admission.Answered && !c.over() {
 		c.client.Answered(c.seq, j.Pages, r.told(c))
 		r.over(c)
@@ -341,6 +346,7 @@
 	}
 	j.Engine, j.At, j.Until, j.LeaveBy = engine, r.now, until, by
 	r.attempts++
+	r.attemptBegun(c)
 	r.pool.Send(j)
 	if j.Out() {
 		r.timers.push(timer{at: until, what: limitOver, token: uint64(id) | uint64(j.Number)<<32})
@@ -353,6 +359,7 @@
 		if c.job.Number < 0 {
 			c.told.Waited = r.now - c.taken
 		}
+		r.notServed(c, "request rejected")
 		c.client.Shed(c.seq, pause, r.told(c))
 		r.over(c)
 		r.release(c)
@@ -362,6 +369,7 @@
 // Fail tells a request's client that it has failed.
 func (r *Router) Fail(id uint32) {
 	if c := r.cmds[id]; !c.over() {
+		r.notServed(c, "request failed")
 		c.client.Failed(c.seq)
 		r.over(c)
 		r.release(c)
--- /dev/null
+++ b/internal/router/trace_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"testing"
+
+	"dunereach/admission"
+	"dunereach/internal/backends"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// TestTrace: a request can be followed through the log by its id: how each attempt ended, its retry, and why it was rejected. So can a
+// server's change of state and the closing of a connection.
+func TestTrace(t *testing.T) {
+	for name, c := range map[string]struct {
+		level zapcore.Level
+		want  []string
+	}{
+		"info": {zap.InfoLevel, []string{"attempt ended", "request retried", "attempt ended", "request retried", "attempt ended",
+			"request rejected", "server changed"}},
+		"debug": {zap.DebugLevel, []string{"attempt begun", "attempt ended", "attempt begun", "request retried", "attempt ended",
+			"attempt begun", "request retried", "attempt ended", "request rejected", "server changed"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, lines := observer.New(c.level)
+			s := newStage(9)
+			s.log = zap.New(core)
+			s.take(1, 29, "SELECT 1")
+			for range 2 {
+				s.pool.GiveUp(&s.cmds[1].job, admission.TurnedAway)
+				s.pool.Settle()
+				s.Tick(s.now + 0.2)
+			}
+			s.pool.GiveUp(&s.cmds[1].job, admission.TurnedAway)
+			s.pool.Settle()
+			s.Tick(s.now + 30)
+			s.ServerChanged(1, admission.Ready, admission.Draining, 1, 2)
+			var got []string
+			for _, l := range lines.All() {
+				request, ok := l.ContextMap()["request"]
+				if ok && request != "0000000000000001" {
+					t.Errorf("%s names request %v", l.Message, request)
+				}
+				if ok || l.Message == "server changed" {
+					got = append(got, l.Message)
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestCloseReasons: each reason for closing a connection has a text of its own.
+func TestCloseReasons(t *testing.T) {
+	seen := map[string]bool{}
+	for why := backends.ServerLeft; why <= backends.ServerClosed; why++ {
+		if seen[why.String()] {
+			t.Errorf("%q stands for two reasons", why)
+		}
+		seen[why.String()] = true
+	}
+}
