Failing test: requests that the system holds reach a draining server past the grace

Over real processes: a server reads nothing, its window is shut, requests for it stay in the router's system; it drains; it reads again past the grace and gets them whole.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -112,7 +112,8 @@
 	log      chan string
 	refs     int
 
-	descriptors int // the system's limit for the router, 0: the test's own
+	descriptors int      // the system's limit for the router, 0: the test's own
+	environment []string // of the router, beside what it needs
 }
 
 func newTown(t testing.TB, engines int) *town { return newTownOf(t, engines, 1024) }
@@ -146,6 +147,18 @@
 	return w
 }
 
+// rewrite replaces a part of the configuration before the router starts.
+func (w *town) rewrite(old, text string) {
+	w.t.Helper()
+	if !strings.Contains(w.text, old) {
+		w.t.Fatalf("the configuration has no %q", old)
+	}
+	w.text = strings.Replace(w.text, old, text, 1)
+	if err := os.WriteFile(w.config, []byte(w.text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // pipe has the configuration come through a pipe, so that its reader waits for it.
 func (w *town) pipe() {
 	os.Remove(w.config)
@@ -164,8 +177,8 @@
 
 func (w *town) command() *exec.Cmd {
 	cmd := exec.Command(program)
-	cmd.Env = []string{"BALANCER_NAME=n1", "BALANCER_LISTEN=" + w.addr, "BALANCER_CONFIG=" + w.config,
-		"DUNEREACH_OPERATOR=" + w.operator}
+	cmd.Env = append([]string{"BALANCER_NAME=n1", "BALANCER_LISTEN=" + w.addr, "BALANCER_CONFIG=" + w.config,
+		"DUNEREACH_OPERATOR=" + w.operator}, w.environment...)
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/dunereach/undelivered_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunereach/internal/fake"
+	"dunereach/internal/logs"
+)
+
+// What users saw: a request ran on a server that drained, after the grace in which sends to it have to stop.
+//
+// The order of events that these tests force, over real processes and sockets: a server reads nothing for a while, so that its window
+// is shut; requests for it are written and stay in the router's system; the server drains; it reads again, past the grace. Until then the
+// router took bytes that its system had accepted for bytes that had left, and an attempt that it had given up for one that is over.
+
+const (
+	// grace is the settings' time for sends to a server that drains, with the protocol's slack of 50 ms.
+	grace = 300 * time.Millisecond
+	// shut is more than the window of a server that does not read, and far less than what the system holds for a sender.
+	shut = 100 << 10
+	// oneConnection is the number of descriptors with which a router shares one connection to a single server among its attempts.
+	oneConnection = 20
+)
+
+// stalledServer accepts connections with a small window and reads nothing until it is told to.
+type stalledServer struct {
+	addr    string
+	resumed chan struct{}
+	fetches chan string // ids of whole requests, as they are read
+	ended   chan struct{}
+}
+
+// newStalledServer is one that accepts a single connection.
+func newStalledServer(t *testing.T) *stalledServer {
+	t.Helper()
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	listener, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	s := &stalledServer{addr: listener.Addr().String(), resumed: make(chan struct{}), fetches: make(chan string, 100), ended: make(chan struct{})}
+	go func() {
+		defer close(s.ended)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		<-s.resumed
+		s.read(conn)
+	}()
+	return s
+}
+
+// read notes whole requests until the connection ends or is quiet for a second.
+func (s *stalledServer) read(conn net.Conn) {
+	for r := bufio.NewReader(conn); ; {
+		conn.SetReadDeadline(time.Now().Add(time.Second))
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		if words[0] != "fetch" {
+			continue
+		}
+		var size int
+		fmt.Sscan(words[3], &size)
+		if _, err := io.CopyN(io.Discard, r, int64(size+len("\r\n"))); err != nil {
+			return
+		}
+		s.fetches <- words[1]
+	}
+}
+
+// received lets the server read on and returns the ids of the requests that it gets whole from then on.
+func (s *stalledServer) received(t *testing.T) (ids []string) {
+	t.Helper()
+	close(s.resumed)
+	select {
+	case <-s.ended:
+	case <-time.After(fake.Patience):
+		t.Fatal("the server reads on and on")
+	}
+	close(s.fetches)
+	for id := range s.fetches {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// stalledTown is a router whose only server is stalled, with all attempts on one connection.
+func stalledTown(t *testing.T) (w *town, server *stalledServer) {
+	t.Helper()
+	w = plan(t, 1, oneConnection)
+	server = newStalledServer(t)
+	w.rewrite(w.engines[0].Addr, server.addr)
+	w.rewrite(`"CpuOfKind":[8]`, `"CpuOfKind":[64]`) // room for all that a test asks
+	w.environment = []string{logs.LevelVariable + "=debug"}
+	w.start()
+	return w, server
+}
+
+// ask sends a request of a size and waits until the router has written its attempt.
+func (w *town) ask(c *fake.Client, profile string, allow, size int) (seq int32, id string) {
+	w.t.Helper()
+	seq = w.call(c, profile, allow, "SELECT '"+strings.Repeat("x", size)+"'")
+	id = fmt.Sprintf("%016x", w.refs)
+	w.logged(fmt.Sprintf(`"attempt written","request":%q`, id))
+	return seq, id
+}
+
+// drain has the name server tell that the only server drains, and waits until the grace is over.
+func (w *town) drain(server *stalledServer) {
+	w.t.Helper()
+	w.names.Set(2, fmt.Sprintf("s-0.east 1 10 std 0 0 %s", server.addr))
+	w.logged(`"to":"draining"`)
+	time.Sleep(grace)
+}
+
+// TestDrainUndelivered: what a router has written and its system has not delivered never reaches a server past the grace of its drain,
+// whether the attempt is still out, was given up before, or stands before a write that blocks.
+func TestDrainUndelivered(t *testing.T) {
+	const short = 300 // milliseconds that a client waits
+	for name, before := range map[string]func(w *town, c *fake.Client) string{
+		"out": func(w *town, c *fake.Client) string {
+			_, id := w.ask(c, "lookup", 30000, 1)
+			return id
+		},
+		"given up": func(w *town, c *fake.Client) string {
+			_, id := w.ask(c, "lookup", short, 1)
+			w.logged(fmt.Sprintf(`"request rejected","request":%q`, id))
+			return id
+		},
+		"before a write that blocks": func(w *town, c *fake.Client) string {
+			_, id := w.ask(c, "lookup", 30000, 1)
+			for range 30 { // more than the system takes for one connection
+				w.ask(c, "lookup", 30000, shut)
+			}
+			return id
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, server := stalledTown(t)
+			c := fake.NewClient(t, w.addr)
+			w.ask(c, "lookup", 30000, shut)
+			late := before(w, c)
+			w.drain(server)
+			for _, id := range server.received(t) {
+				if id == late {
+					t.Errorf("request %s reached a draining server past the grace", id)
+				}
+			}
+		})
+	}
+}
