Failing test: a list of before the start keeps a router from hearing of a drain

Cause, seen in a replay with each question to the name server logged: events are numbered anew at each start of a router, and an answer brings a list under the number that it had before the start. internal/discovery Follower.Answer takes the highest number for the newest: 'l.Serial < f.rev' refuses the true lists after it, 'l.Serial == f.rev' passes over the true list under the same number. Ruled out by the log with a line on every attempt: attempts of routers that knew of the drain.

--- a/internal/fake/standin.go
+++ b/internal/fake/standin.go
@@ -72,6 +72,14 @@
 	met  map[string]bool
 	down bool          // nobody is answered
 	once chan struct{} // closed with the first question
+	sent chan struct{} // closed with the first answer that holds the list as last set
+	next []numbered    // answers that go out before the list as last set
+}
+
+// numbered is a list of servers under a number.
+type numbered struct {
+	rev  uint32
+	list []string
 }
 
 // NewNameServer starts a name server on loopback that answers for one name. It ends with the test.
@@ -81,7 +89,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	n := &NameServer{Addr: c.LocalAddr().String(), met: map[string]bool{}, once: make(chan struct{})}
+	n := &NameServer{Addr: c.LocalAddr().String(), met: map[string]bool{}, once: make(chan struct{}),
+		sent: make(chan struct{})}
 	go func() {
 		buf := make([]byte, 512)
 		for {
@@ -95,7 +104,8 @@
 			}
 			n.met[from.String()] = true
 			if !n.down && !n.deaf[from.String()] {
-				c.WriteTo(Reply(binary.BigEndian.Uint16(buf), n.rev, name, n.list...), from)
+				answer := n.answer()
+				c.WriteTo(Reply(binary.BigEndian.Uint16(buf), answer.rev, name, answer.list...), from)
 			}
 			n.mu.Unlock()
 		}
@@ -108,6 +118,37 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.rev, n.list = rev, engines
+	n.sent = make(chan struct{})
+}
+
+// Stray has the next answer hold another list than the one set, as one does that was meant for somebody else or is out of date.
+func (n *NameServer) Stray(rev uint32, engines ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.next = append(n.next, numbered{rev, engines})
+}
+
+// Sent waits until an answer has gone out that holds the list as last set.
+func (n *NameServer) Sent() {
+	n.mu.Lock()
+	sent := n.sent
+	n.mu.Unlock()
+	<-sent
+}
+
+// answer is the list that goes out next. Its caller holds the lock.
+func (n *NameServer) answer() numbered {
+	if len(n.next) > 0 {
+		stray := n.next[0]
+		n.next = n.next[1:]
+		return stray
+	}
+	select {
+	case <-n.sent:
+	default:
+		close(n.sent)
+	}
+	return numbered{n.rev, n.list}
 }
 
 // Asked waits for the first question.
