Lists of servers: one answer takes permission away, two in a row give it

Cause: Follower.Answer (internal/discovery/members.go) took the highest number for the newest list. Numbers begin anew at each start of a router, and an answer may bring a list of before it, under the number it had then. 'l.Serial < f.rev' then refused the true lists, and 'l.Serial == f.rev' passed over the true one under the same number, until the numbering had passed the stray. Class: a mark that can only rise, taken from one message of a source that may be out of date, across a numbering that begins anew. Change: claims.go weighs answers. A drain or absence counts by one answer, permission by two in a row; what contradicts the list in hand restricts it at once and replaces it after three answers, or ten where it was confirmed. While it is unsettled the list is asked for ten times a second. A contradicting answer counts as heard from, so that sockets are not changed for it.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -454,12 +454,12 @@
 func (s *service) answer(msg []byte) {
 	fresh, err := s.list.Answer(msg)
 	if err != nil {
-		s.log.Warn("list of engines", zap.Error(err))
+		s.log.Warn("list of engines", zap.Error(err), zap.Uint32("rev", s.list.Rev()))
 	}
-	if err != nil && !fresh {
+	if errors.As(err, &discovery.Unread{}) {
 		return
 	}
-	s.waits = false
+	s.waits = s.list.Unsettled()
 	if s.heardAt = s.clock.now(); s.deaf {
 		s.deaf = false
 		s.log.Info("the name server answers again")
