Requests that the system holds undelivered go with their connection

Cause, found by forcing what could explain a late send: internal/backends took a request for gone once its write had returned (Written), and looked only at attempts that were still out; internal/transport closed connections so that the system went on sending what it held. With a server's window shut, a request reached it past the grace of its drain: TestDrainUndelivered, three cases, each time. Class: bytes handed to the system count as gone; an attempt given up counts as over on the wire. Change: requests are followed to the other side's acknowledgement (delivery.go, TIOCOUTQ). A connection on which one is undelivered at the end of its time is reset, which drops what the system holds. Related paths, each with a test that fails without: a repeat's time to leave, clients that have left, the router's end.

--- a/cmd/dunereach/undelivered_test.go
+++ b/cmd/dunereach/undelivered_test.go
@@ -165,3 +165,31 @@
 		})
 	}
 }
+
+// TestLeftUndelivered: requests whose client has left while they had not arrived at their server do not arrive later.
+func TestLeftUndelivered(t *testing.T) {
+	w, server := stalledTown(t)
+	c := fake.NewClient(t, w.addr)
+	w.ask(c, "lookup", 30000, shut)
+	w.ask(c, "lookup", 30000, 1)
+	c.Leave()
+	w.logged(`"why":"requests undelivered"`)
+	if ids := server.received(t); len(ids) > 0 {
+		t.Errorf("requests %q ran for a client that had left", ids)
+	}
+}
+
+// TestEndUndelivered: what a router has given up and its system has not delivered does not arrive after the router's end.
+func TestEndUndelivered(t *testing.T) {
+	const short = 300 // milliseconds that a client waits
+	w, server := stalledTown(t)
+	c := fake.NewClient(t, w.addr)
+	w.ask(c, "lookup", short, shut)
+	_, id := w.ask(c, "lookup", short, 1)
+	w.logged(fmt.Sprintf(`"request rejected","request":%q`, id))
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	w.ended(0)
+	if ids := server.received(t); len(ids) > 0 {
+		t.Errorf("requests %q ran after their router's end", ids)
+	}
+}
--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -63,8 +63,9 @@
 // Line is where a connection's bytes go.
 type Line interface {
 	Append(b []byte) int64
+	AppendRequest(b []byte) int64
 	Begun(from int64) bool
-	Written(to int64) bool
+	Delivered() bool // all requests that a write was begun with have arrived
 	Withdraw(from int64, size int) bool
 	Finish()
 	Drop()
@@ -181,11 +182,11 @@
 			}
 		}
 		running += len(c.out)
-		c.rest()
 		const soon = 0.1 // seconds: a writer that is only behind has written by then, and no grace of a drain is over
-		if c.stuck() && c.stuckAt == 0 {
+		if c.stuckAt == 0 && !c.line.Delivered() {
 			c.stuckAt = p.now + soon
 		}
+		c.rest()
 	}
 	return withdrawn, running
 }
@@ -193,39 +194,51 @@
 // withdraw takes a send back of which nothing has left, in one step with the question whether it has.
 func (c *conn) withdraw(j *Job) bool { return !j.sent || c.line.Withdraw(j.from, j.size) }
 
-// stuck tells whether bytes of a send are in a write that has begun and does not end.
-func (c *conn) stuck() bool {
-	for _, j := range c.out {
-		if j.sent && !c.line.Written(j.from+int64(j.size)) {
-			return true
-		}
-	}
-	return false
-}
-
 // UnstickEvery is how often Unstick is to be called, in seconds.
 const UnstickEvery = 0.1
 
-// Unstick drops connections to engines that drain or are gone, in which bytes of sends are stuck: they would leave
-// some time, past the grace. And those on which an answer has stopped short, or a page does not come. A send whose bytes
-// may not leave any more when it is called next is withdrawn.
+// Unstick drops connections whose requests have to arrive by now and have not: they would arrive some time later. Whether the attempts are
+// still out does not matter: bytes of one that was given up arrive as well. And it drops those on which an answer has stopped short, or a
+// page does not come. An attempt whose bytes may not leave any more when it is called next is withdrawn.
 func (p *Pool) Unstick() {
 	for _, c := range p.conns {
-		for _, j := range c.jobs() {
-			if j.LeaveBy > 0 && p.now+UnstickEvery >= j.LeaveBy && c.withdraw(j) {
-				p.endLater(j, admission.Moot)
-			}
-		}
+		late := c.expire()
 		if p.limits.Stall > 0 && !c.broken && c.stopped(p.now-p.limits.Stall) {
 			c.bad()
 		}
 		if c.stuckAt > 0 && p.now >= c.stuckAt {
-			if c.stuckAt = 0; c.stuck() {
-				p.observer.Closing(c.engine, Unwritten, len(c.out))
-				c.line.Drop()
-			}
+			c.stuckAt, late = 0, true
+		}
+		if (late || c.unwanted()) && !c.line.Delivered() {
+			c.retireFor(Undelivered)
+			c.line.Drop()
+		}
+	}
+}
+
+// expire withdraws attempts whose time to leave is over. It tells whether one has left in time and has to have arrived.
+func (c *conn) expire() (left bool) {
+	for _, j := range c.jobs() {
+		if j.LeaveBy == 0 || c.pool.now+UnstickEvery < j.LeaveBy {
+			continue
+		}
+		if c.withdraw(j) {
+			c.pool.endLater(j, admission.Moot)
+			continue
+		}
+		j.LeaveBy, left = 0, true
+	}
+	return left
+}
+
+// unwanted tells whether clients have left all attempts that are out here.
+func (c *conn) unwanted() bool {
+	for _, j := range c.out {
+		if !j.Unwanted || !j.sent {
+			return false
 		}
 	}
+	return len(c.out) > 0
 }
 
 // stopped tells whether an answer, or the pages of a result, have not gone on since then. The engine has the whole
@@ -317,7 +330,7 @@
 	c.pool.observer.Writing(j)
 	wait := int(math.Ceil((j.Until - c.pool.now) * 1000))
 	c.pool.scratch = lineproto.Fetch(c.pool.scratch[:0], j.Ref[:], j.Profile, max(wait, 1), j.Level, j.Token, j.Statement)
-	j.from, j.size = c.line.Append(c.pool.scratch), len(c.pool.scratch)
+	j.from, j.size = c.line.AppendRequest(c.pool.scratch), len(c.pool.scratch)
 }
 
 // say writes what was put together in the pool's scratch.
--- a/internal/backends/engines_test.go
+++ b/internal/backends/engines_test.go
@@ -26,6 +26,8 @@
 	sink          transport.Sink
 	queued, begun int64
 	written       int64
+	request       int64 // where the last request ends that a write was begun with
+	waiting       int64 // where the last request ends that none was begun with, 0: there is none
 	stalled, over bool
 }
 
@@ -38,10 +40,25 @@
 	return from
 }
 func (w *wire) Begun(from int64) bool { return from < w.begun }
-func (w *wire) Written(to int64) bool { return to <= w.written }
+func (w *wire) AppendRequest(b []byte) int64 {
+	from := w.Append(b)
+	if w.waiting = w.queued; !w.stalled {
+		w.begin()
+	}
+	return from
+}
+
+// begin notes a write of all that waits.
+func (w *wire) begin() {
+	w.begun, w.request, w.waiting = w.queued, max(w.request, w.waiting), 0
+}
+func (w *wire) Delivered() bool { return w.request <= w.written }
 func (w *wire) Withdraw(from int64, size int) bool {
 	if from >= w.begun {
 		w.yard.say("line %d has %d bytes taken back", w.n, size)
+		if w.waiting == from+int64(size) {
+			w.waiting = 0
+		}
 	}
 	return from >= w.begun
 }
@@ -136,11 +153,12 @@
 	case "stalled":
 		l := y.lines[number(t, w[2])-1]
 		if l.stalled = len(w) < 4 || w[3] == "yes"; !l.stalled {
-			l.begun, l.written = l.queued, l.queued
+			l.begin()
+			l.written = l.queued
 		}
 	case "begun": // a write of all that waits, which does not end
 		l := y.lines[number(t, w[2])-1]
-		l.begun = l.queued
+		l.begin()
 	case "withdraw":
 		y.pool.Withdraw(y.jobs[number(t, w[2])])
 	case "leave-by":
--- a/internal/backends/observer.go
+++ b/internal/backends/observer.go
@@ -20,7 +20,7 @@
 // The reasons for closing a connection to a server.
 const (
 	ServerLeft   CloseReason = iota // the server drains or is gone, or has another address
-	Unwritten                       // as ServerLeft, and bytes of attempts might still leave
+	Undelivered                     // requests have not arrived there, and must not any more
 	IdleLong                        // ahead of the server, which closes idle connections
 	RoomNeeded                      // another attempt needs the descriptor
 	Unreadable                      // what came can't be read, or stopped short
@@ -30,7 +30,7 @@
 )
 
 func (r CloseReason) String() string {
-	return [...]string{"server left", "server left, bytes unwritten", "idle", "room needed", "unreadable", "attempt timed out",
+	return [...]string{"server left", "requests undelivered", "idle", "room needed", "unreadable", "attempt timed out",
 		"ids spent", "server closed"}[r]
 }
 
@@ -44,9 +44,9 @@
 func (silence) Closing(uint32, CloseReason, int)                                 {}
 func (silence) Writing(*Job)                                                     {}
 
-// retireFor has a connection take no more attempts; the first reason is the one reported.
+// retireFor has a connection take no more attempts. The first reason is reported, and that requests were undelivered.
 func (c *conn) retireFor(why CloseReason) {
-	if !c.retired {
+	if !c.retired || why == Undelivered {
 		c.retired = true
 		c.pool.observer.Closing(c.engine, why, len(c.out))
 	}
--- a/internal/backends/room_test.go
+++ b/internal/backends/room_test.go
@@ -18,13 +18,14 @@
 // quietLine takes all and notes whether it was finished.
 type quietLine struct{ finished bool }
 
-func (l *quietLine) Append([]byte) int64      { return 0 }
-func (l *quietLine) Begun(int64) bool         { return true }
-func (l *quietLine) Written(int64) bool       { return true }
-func (l *quietLine) Withdraw(int64, int) bool { return false }
-func (l *quietLine) Finish()                  { l.finished = true }
-func (l *quietLine) Drop()                    {}
-func (l *quietLine) Bad()                     {}
+func (l *quietLine) Append([]byte) int64        { return 0 }
+func (l *quietLine) Begun(int64) bool           { return true }
+func (l *quietLine) AppendRequest([]byte) int64 { return 0 }
+func (l *quietLine) Delivered() bool            { return true }
+func (l *quietLine) Withdraw(int64, int) bool   { return false }
+func (l *quietLine) Finish()                    { l.finished = true }
+func (l *quietLine) Drop()                      {}
+func (l *quietLine) Bad()                       {}
 
 // TestRestingMakesRoom: where resting connections to one server take all, the one that has rested longest makes room for an attempt to a
 // server that has none, which would count as unreachable; with nothing resting the attempt ends so.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -20,9 +20,10 @@
 // wire stands in for connections on both sides, and keeps what was written last.
 type wire struct{ last []byte }
 
-func (w *wire) Append(b []byte) int64 { w.last = append(w.last[:0], b...); return 0 }
-func (w *wire) Begun(int64) bool      { return true }
-func (w *wire) Written(int64) bool    { return true }
+func (w *wire) Append(b []byte) int64        { w.last = append(w.last[:0], b...); return 0 }
+func (w *wire) Begun(int64) bool             { return true }
+func (w *wire) AppendRequest(b []byte) int64 { return w.Append(b) }
+func (w *wire) Delivered() bool              { return true }
 func (w *wire) Withdraw(int64, int) bool {
 	return false
 }
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -16,12 +16,19 @@
 	}, deliver
 }
 
+// tookAll tells whether the system has taken so many bytes.
+func (c *Conn) tookAll(size int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests.taken >= size
+}
+
 // TestResetUnread: what is appended once the other side has reset the connection, and before the reader comes to that, has not left: it
 // can be withdrawn, and does not count as begun. What was written before it counts.
 func TestResetUnread(t *testing.T) {
 	c, s, reset, deliver := unread(t)
 	first := c.Append([]byte("left"))
-	for !c.Written(first + 4) {
+	for !c.tookAll(first + 4) {
 		time.Sleep(time.Millisecond)
 	}
 	reset()
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -113,15 +113,17 @@
 	whole    bool          // the other side never reads on once it has said its last
 	shut     atomic.Bool   // this side has said its last: what still comes is nobody's
 
-	mu      sync.Mutex
-	out     []byte
-	holes   []hole // what was withdrawn from it
-	queued  int64  // bytes ever appended
-	begun   int64  // of those, bytes that a write was begun with
-	written int64  // of those, bytes that the system has
-	finish  bool
-	deaf    bool // the other side has closed, and reads nothing: no write is begun
-	dead    bool // a write has failed: nothing leaves any more, and begun is what the system had by then
+	mu     sync.Mutex
+	out    []byte
+	holes  []hole // what was withdrawn from it
+	queued int64  // bytes ever appended
+	begun  int64  // of those, bytes that a write was begun with
+	finish bool
+	deaf   bool // the other side has closed, and reads nothing: no write is begun
+	dead   bool // a write has failed: nothing leaves any more, and begun is what the system had by then
+
+	requests requests
+	raw      syscall.RawConn // of the socket, nil: there is none yet
 }
 
 // hole is bytes that were withdrawn, by where they began.
@@ -176,7 +178,8 @@
 }
 
 func (c *Conn) run(nc net.Conn, size int) {
-	stop := context.AfterFunc(c.ctx, func() { nc.Close() })
+	c.attach(nc)
+	stop := context.AfterFunc(c.ctx, func() { c.discardUndelivered(nc); nc.Close() })
 	defer stop()
 	written := make(chan struct{})
 	go func() { c.write(nc); close(written) }() // ended below
@@ -260,6 +263,7 @@
 			}
 			out, finish := c.out, c.finish
 			c.out, c.begun, c.holes = spare[:0], c.queued, c.holes[:0]
+			c.requests.begin(len(out))
 			begun := c.begun
 			c.mu.Unlock()
 			if spare = out; len(out) == 0 {
@@ -272,6 +276,7 @@
 			nc.SetWriteDeadline(time.Now().Add(c.patience))
 			taken, err := nc.Write(out)
 			c.net.used.Add(-int64(len(out)))
+			c.took(taken)
 			if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
 				c.failed(begun - int64(len(out)-taken))
 				nc.Close() // the reader ends by it too
@@ -280,9 +285,6 @@
 				c.quit(errStuffed)
 				return
 			}
-			c.mu.Lock()
-			c.written = begun
-			c.mu.Unlock()
 			if cap(spare) > spared {
 				spare = nil
 			}
@@ -319,12 +321,17 @@
 
 // Append puts bytes behind those that are to go out, and gives back where they begin, for Begun. A connection
 // that takes nothing is ended when its bound is passed, or the bound of all together.
-func (c *Conn) Append(b []byte) (from int64) {
+func (c *Conn) Append(b []byte) (from int64) { return c.append(b, false) }
+
+func (c *Conn) append(b []byte, request bool) (from int64) {
 	c.mu.Lock()
 	from = c.queued
 	if c.ctx.Err() == nil {
 		c.out = append(c.out, b...)
 		c.queued += int64(len(b))
+		if request {
+			c.requests.last = len(c.out)
+		}
 		if c.net.used.Add(int64(len(b))) > c.net.room || len(c.out) > c.limit {
 			c.quit(errStuffed)
 		}
@@ -348,13 +355,6 @@
 	return from < c.begun
 }
 
-// Written tells whether all bytes up to a place are the system's.
-func (c *Conn) Written(to int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return to <= c.written
-}
-
 // Withdraw takes bytes back that were appended in one go, unless any may have left. To ask and then to act would leave
 // the writer a moment between.
 func (c *Conn) Withdraw(from int64, size int) bool {
@@ -374,6 +374,7 @@
 	}
 	if at+size <= len(c.out) { // else the connection is over, and nothing leaves any more
 		c.out = append(c.out[:at], c.out[at+size:]...)
+		c.requests.withdraw(at, size)
 		c.holes = append(c.holes, hole{from, size})
 		c.net.used.Add(-int64(size))
 	}
