--- a/internal/transport/delivery_test.go
+++ b/internal/transport/delivery_test.go
@@ -30,17 +30,27 @@
 	if !c.Delivered() {
 		t.Error("there is no request")
 	}
-	c.AppendRequest(make([]byte, undeliverable))
-	until(t, "no write is begun", func() bool { return c.Begun(before) })
+	const size = 1 << 20 // the system takes it, the other side's window does not
+	c.AppendRequest(make([]byte, size))
+	until(t, "the system does not take it", func() bool { return c.tookAll(before + size) })
 	if c.Delivered() {
 		t.Error("delivered to one that reads nothing")
 	}
-	if _, err := io.CopyN(io.Discard, there, before+undeliverable); err != nil {
+	if _, err := io.CopyN(io.Discard, there, before+size); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it is not delivered", c.Delivered)
+	c.AppendRequest(make([]byte, undeliverable))
+	until(t, "no write is begun", func() bool { return c.Begun(before + size) })
+	if c.Delivered() {
+		t.Error("delivered while it is written")
+	}
+	if _, err := io.CopyN(io.Discard, there, undeliverable); err != nil {
 		t.Fatal(err)
 	}
 	until(t, "it is not delivered", c.Delivered)
 	c.Append(make([]byte, undeliverable))
-	until(t, "no write is begun", func() bool { return c.Begun(before + undeliverable) })
+	until(t, "no write is begun", func() bool { return c.Begun(before + size + undeliverable) })
 	if !c.Delivered() {
 		t.Error("what follows a request counts")
 	}
