--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= deploy/example.json
 LISTEN ?= 127.0.0.1:4100
 
-.PHONY: build test lint run demo demo-fleet bench fuzz explore schema expect show-budgets show-expect show-owner show-failover show-state show-scale soak-fleet
+.PHONY: build test lint run demo demo-fleet bench fuzz explore schema expect show-budgets show-expect show-owner show-failover show-state show-scale soak-fleet soak-list
 
 build:
 	mkdir -p bin
@@ -79,6 +79,11 @@
 show-scale: build
 	bin/duneshow scale
 
+# Ten minutes of drawn faults of the list of servers; SEED draws others.
+SEED ?= 1
+soak-list:
+	go test ./cmd/dunereach -count=1 -run TestListSoak -v -timeout 20m -soak 10m -soak-seed $(SEED)
+
 # Ten minutes of drawn faults over five keepers and forty routers; its table is kept in docs/soak-fleet.md.
 soak-fleet: build
 	bin/duneshow soak-fleet 10
