Starts of servers that lie a millisecond apart are the same

The configuration and the name server tell starts in milliseconds, each by its own number format; compared as floating-point numbers a difference in the last digit would be another process, and the list a contradiction. Not seen; a precaution.

--- a/internal/discovery/snapshot.go
+++ b/internal/discovery/snapshot.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 
@@ -74,10 +75,13 @@
 	return addr
 }
 
+// sameStart is how far two tellings of one start may lie apart, in seconds: both are told in milliseconds.
+const sameStart = 0.001
+
 // lists returns a process of a server as it is listed: the same start at the same address.
 func (s *snapshot) lists(e admission.Entry, addr netip.AddrPort) (same admission.Entry, ok bool) {
 	same, place, ok := s.find(e.Engine)
-	return same, ok && same.ReadyAt == e.ReadyAt && place == addr
+	return same, ok && math.Abs(same.ReadyAt-e.ReadyAt) <= sameStart && place == addr
 }
 
 // agrees tells whether two lists are the same: number, servers, states, starts and addresses. Weights may differ, as they can change
