--- a/internal/fake/standin.go
+++ b/internal/fake/standin.go
@@ -173,6 +173,7 @@
 	Words  []string
 	Body   string
 	Engine *Engine
+	At     time.Time // when it was read
 	conn   net.Conn
 }
 
@@ -213,7 +214,7 @@
 		if err != nil {
 			return
 		}
-		s := Said{Words: strings.Fields(line), Engine: e, conn: c}
+		s := Said{Words: strings.Fields(line), Engine: e, At: time.Now(), conn: c}
 		if s.Words[0] == "fetch" {
 			var n int
 			fmt.Sscan(s.Words[3], &n)
