Permission to send takes four answers in a row, and not two

Cause: two lists of before the start in a row, the second under a higher number, agreed on servers that were gone or drained (claims.go allowed: last and newest). Change: a server is used once four answers in a row have it ready; a list that is outvoted goes through the same.

--- a/internal/discovery/claims.go
+++ b/internal/discovery/claims.go
@@ -14,15 +14,19 @@
 // an answer under a lower number, or with other servers under the same one, can be the true one. What is done then holds whichever is:
 //
 //   - One answer alone takes permission away: a server that drains or is missing in it gets nothing more.
-//   - Permission is given by two in a row that agree: a server is ready once two answers have it so, and forgotten once two lack it.
+//   - Permission is given by some answers in a row that agree on a server: it is ready once they all have it so, and forgotten once they all
+//     lack it.
 //   - Answers that contradict the list in hand take its place when they repeat, or follow one another, whatever their number.
 
-// How often a contradiction has to repeat, with no answer between that agrees with the list in hand. While there is one the list is asked
-// for ten times a second.
+// How many answers in a row something takes. Until the list in hand is settled it is asked for ten times a second.
 const (
-	// outvoteNew is for a list that only one answer has told. One answer in twenty may bring an older list: three in a row are no chance.
-	outvoteNew = 3
-	// outvoteConfirmed is for a list that a second answer has confirmed: a second of nothing else.
+	// grantAfter is for a server to be used. One answer in ten may bring an older list, and of those that come one after the other each
+	// has to have a higher number than the one before to count as news: four by chance are one in some hundred thousand. A new server is
+	// used 0.3 s later for it, which is little against its warm-up.
+	grantAfter = 4
+	// outvoteNew is for a list that only one answer has told to be replaced by one that contradicts it.
+	outvoteNew = grantAfter
+	// outvoteConfirmed is for a list that answers in a row have told: a second of nothing else.
 	outvoteConfirmed = 10
 )
 
@@ -41,16 +45,28 @@
 	awaited   int       // how many answers in a row have to agree before the list in hand is used whole
 	rival     *snapshot // the list of the last answer that contradicts the one in hand, nil: none since the last that agrees
 	votes     int       // answers in a row for the rival
-	last      *snapshot // the list of the last answer that counted
+	recent    history   // the lists of the last answers that counted
 	used      *snapshot // what may be used
 }
 
+// history is the lists of the last answers but the newest, as many as it takes for a server to be used.
+type history [grantAfter - 1]*snapshot
+
+// push adds a list and forgets the oldest.
+func (h *history) push(list *snapshot) {
+	copy(h[:], h[1:])
+	h[len(h)-1] = list
+}
+
 // settle takes a list that needs no second word.
 func (c *claims) settle(list *snapshot) {
-	*c = claims{held: list, confirmed: true, last: list, used: list}
+	*c = claims{held: list, confirmed: true, used: list}
+	for range c.recent {
+		c.recent.push(list)
+	}
 }
 
-// Unsettled tells whether the list in hand waits for another answer to agree.
+// Unsettled tells whether the list in hand waits for other answers to agree.
 func (c *claims) Unsettled() bool { return c.awaited > 0 || c.rival != nil }
 
 // weigh takes in the list of an answer. Fresh: what may be used has changed, or the list in hand.
@@ -67,7 +83,8 @@
 
 // agree notes that an answer tells the list in hand.
 func (c *claims) agree() (fresh bool) {
-	c.rival, c.votes, c.last = nil, 0, c.held
+	c.rival, c.votes = nil, 0
+	c.recent.push(c.held)
 	if c.awaited = max(c.awaited-1, 0); c.awaited > 0 {
 		return false
 	}
@@ -75,11 +92,11 @@
 	return c.use(c.held)
 }
 
-// advance takes a list as the one in hand, and waits for a second answer.
+// advance takes a list as the one in hand, and waits for other answers.
 func (c *claims) advance(list *snapshot) {
-	used := allowed(c.used, c.last, list)
-	c.held, c.last, c.confirmed, c.rival, c.votes, c.awaited = list, list, false, nil, 0, 1
-	c.use(used)
+	c.use(c.recent.allow(c.used, list))
+	c.held, c.confirmed, c.rival, c.votes, c.awaited = list, false, nil, 0, grantAfter-1
+	c.recent.push(list)
 }
 
 // contradict takes in a list that can't follow the one in hand.
@@ -94,11 +111,7 @@
 		needed = outvoteConfirmed
 	}
 	if c.votes++; c.votes >= needed {
-		if repeats {
-			c.settle(list)
-		} else {
-			c.advance(list)
-		}
+		c.advance(list) // what of it is used goes by the answers before
 		return true, errReplaced
 	}
 	err = errOther
@@ -111,8 +124,8 @@
 	if c.confirmed && len(list.entries) == 0 { // all gone with no event: not on one answer's word
 		return false, err
 	}
-	c.awaited = 2 // the next that agrees may be what is out of date
-	c.last = list
+	c.awaited = grantAfter // those that agree next may be what is out of date
+	c.recent.push(list)
 	return c.use(restricted(c.used, list)), err
 }
 
@@ -123,42 +136,61 @@
 	return fresh
 }
 
-// allowed is what two answers in a row allow: a server is ready where both have the same process of it ready. Other servers that have been
-// used drain, and so keep what runs there, until both lack them.
-func allowed(used, first, second *snapshot) *snapshot {
-	list := newSnapshot(second.serial, len(used.entries))
+// allow is what answers in a row allow, the newest among them: a server is ready where all have the same process of it ready. Other servers
+// that have been used drain, and so keep what runs there, until all lack them.
+func (h *history) allow(used, newest *snapshot) *snapshot {
+	list := newSnapshot(newest.serial, len(used.entries))
 	for k, e := range used.entries {
-		if first.has(e.Engine) || second.has(e.Engine) {
-			list.add(inBoth(e, used.addrs[k], first, second), used.addrs[k])
+		if newest.has(e.Engine) || h.has(e.Engine) {
+			list.add(h.inAll(e, used.addrs[k], newest), used.addrs[k])
 		}
 	}
-	for k, e := range second.entries {
-		if e = inBoth(e, second.addrs[k], first, second); e.State == admission.Ready {
-			list.add(e, second.addrs[k])
+	for k, e := range newest.entries {
+		if e = h.inAll(e, newest.addrs[k], newest); e.State == admission.Ready {
+			list.add(e, newest.addrs[k])
 		}
 	}
 	return list
 }
 
+// has tells whether any of the lists has a server.
+func (h *history) has(engine uint32) bool {
+	for _, list := range h {
+		if list.has(engine) {
+			return true
+		}
+	}
+	return false
+}
+
+// inAll is a process of a server with what the lists make of it: ready in all, or it drains.
+func (h *history) inAll(e admission.Entry, addr netip.AddrPort, newest *snapshot) admission.Entry {
+	e = alsoIn(e, addr, newest)
+	for _, list := range h {
+		if same, ok := list.lists(e, addr); !ok || same.State != admission.Ready {
+			e.State = admission.Draining
+		}
+	}
+	return e
+}
+
 // restricted is what may be used of a list after an answer that contradicts it.
 func restricted(used, answer *snapshot) *snapshot {
 	list := newSnapshot(used.serial, len(used.entries))
 	for k, e := range used.entries {
-		list.add(inBoth(e, used.addrs[k], used, answer), used.addrs[k])
+		was := e.State
+		e = alsoIn(e, used.addrs[k], answer)
+		e.State = min(e.State, was)
+		list.add(e, used.addrs[k])
 	}
 	return list
 }
 
-// inBoth is a process of a server with what two lists make of it: ready in both, or it drains. What else the second has of it counts.
-func inBoth(e admission.Entry, addr netip.AddrPort, first, second *snapshot) admission.Entry {
-	one, inFirst := first.lists(e, addr)
-	other, inSecond := second.lists(e, addr)
-	if inSecond {
-		e = other
+// alsoIn is a process of a server as a list has it. One that the list lacks, or has started anew, drains.
+func alsoIn(e admission.Entry, addr netip.AddrPort, list *snapshot) admission.Entry {
+	if same, ok := list.lists(e, addr); ok {
+		return same
 	}
 	e.State = admission.Draining
-	if inFirst && inSecond {
-		e.State = min(one.State, other.State)
-	}
 	return e
 }
