A drain holds against older lists; a confirmed list holds for half a minute

Seen: the expectations 'drain-older' and 'list-told' of the example deployment failed once the emulator asked as the driver does while the list is unsettled: it had skipped questions whose number it knew, so new servers were never used there. A name server that tells an older list for five seconds outvoted the confirmed one after a second, and a drained server was sent to. Change: drains are kept with the number that told them and are taken back only by a higher one, or a new start; a confirmed list is held for 300 answers; 'fresh' is said only where what may be used has changed, so a returned server is told once it is used.

--- a/internal/discovery/answer.go
+++ b/internal/discovery/answer.go
@@ -108,6 +108,7 @@
 		if !f.held.has(n) && !f.used.has(n) {
 			delete(f.numbers, uid)
 			delete(f.names, n)
+			delete(f.drains, n)
 		}
 	}
 }
--- a/internal/discovery/claims.go
+++ b/internal/discovery/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 
 	"dunereach/admission"
@@ -16,7 +17,9 @@
 //   - One answer alone takes permission away: a server that drains or is missing in it gets nothing more.
 //   - Permission is given by some answers in a row that agree on a server: it is ready once they all have it so, and forgotten once they all
 //     lack it.
-//   - Answers that contradict the list in hand take its place when they repeat, or follow one another, whatever their number.
+//   - A drain is taken back only by a list with a higher number than the one that told it, or by a new start of the server.
+//   - Answers that contradict a list in hand that one answer has told take its place when they repeat, or follow one another, whatever their
+//     number. A list that answers in a row have told holds against older ones for much longer: a name server may be behind for seconds.
 
 // How many answers in a row something takes. Until the list in hand is settled it is asked for ten times a second.
 const (
@@ -26,8 +29,8 @@
 	grantAfter = 4
 	// outvoteNew is for a list that only one answer has told to be replaced by one that contradicts it.
 	outvoteNew = grantAfter
-	// outvoteConfirmed is for a list that answers in a row have told: a second of nothing else.
-	outvoteConfirmed = 10
+	// outvoteConfirmed is for a list that answers in a row have told: half a minute of nothing else, longer than a name server is behind.
+	outvoteConfirmed = 300
 )
 
 // What is odd about an answer.
@@ -47,6 +50,46 @@
 	votes     int       // answers in a row for the rival
 	recent    history   // the lists of the last answers that counted
 	used      *snapshot // what may be used
+	drains    map[uint32]drain
+}
+
+// drain is the newest word that a server may not be sent to.
+type drain struct {
+	start  float64 // of the process that it is about
+	serial uint32  // of the list that told it
+}
+
+// note keeps the drains that a list tells.
+func (c *claims) note(list *snapshot) {
+	for _, e := range list.entries {
+		if e.State == admission.Draining {
+			c.drained(e, list.serial)
+		}
+	}
+}
+
+// drained keeps that a server drains, or is gone, by the list of a number.
+func (c *claims) drained(e admission.Entry, serial uint32) {
+	if was, ok := c.drains[e.Engine]; ok && was.start == e.ReadyAt && was.serial >= serial {
+		return
+	}
+	c.drains[e.Engine] = drain{e.ReadyAt, serial}
+}
+
+// granted is a list less what drains by a word that is as new or newer.
+func (c *claims) granted(list *snapshot) *snapshot {
+	granted := list
+	for k, e := range list.entries {
+		d, ok := c.drains[e.Engine]
+		if !ok || e.State != admission.Ready || math.Abs(d.start-e.ReadyAt) > sameStart || d.serial < list.serial {
+			continue
+		}
+		if granted == list {
+			granted = list.clone()
+		}
+		granted.entries[k].State = admission.Draining
+	}
+	return granted
 }
 
 // history is the lists of the last answers but the newest, as many as it takes for a server to be used.
@@ -60,23 +103,23 @@
 
 // settle takes a list that needs no second word.
 func (c *claims) settle(list *snapshot) {
-	*c = claims{held: list, confirmed: true, used: list}
+	*c = claims{held: list, confirmed: true, used: list, drains: map[uint32]drain{}}
 	for range c.recent {
 		c.recent.push(list)
 	}
+	c.note(list)
 }
 
 // Unsettled tells whether the list in hand waits for other answers to agree.
 func (c *claims) Unsettled() bool { return c.awaited > 0 || c.rival != nil }
 
-// weigh takes in the list of an answer. Fresh: what may be used has changed, or the list in hand.
+// weigh takes in the list of an answer. Fresh: what may be used has changed.
 func (c *claims) weigh(list *snapshot) (fresh bool, err error) {
 	switch {
 	case list.agrees(c.held):
 		return c.agree(), nil
 	case list.serial > c.held.serial || list.serial == c.held.serial && c.held.partial:
-		c.advance(list)
-		return true, nil
+		return c.advance(list), nil
 	}
 	return c.contradict(list)
 }
@@ -89,14 +132,21 @@
 		return false
 	}
 	c.confirmed = true
-	return c.use(c.held)
+	for _, e := range c.used.entries { // what they all lack is gone by their word
+		if !c.held.has(e.Engine) {
+			c.drained(e, c.held.serial)
+		}
+	}
+	return c.use(c.granted(c.held))
 }
 
 // advance takes a list as the one in hand, and waits for other answers.
-func (c *claims) advance(list *snapshot) {
-	c.use(c.recent.allow(c.used, list))
+func (c *claims) advance(list *snapshot) (fresh bool) {
+	c.note(list)
+	fresh = c.use(c.granted(c.recent.allow(c.used, list)))
 	c.held, c.confirmed, c.rival, c.votes, c.awaited = list, false, nil, 0, grantAfter-1
 	c.recent.push(list)
+	return fresh
 }
 
 // contradict takes in a list that can't follow the one in hand.
@@ -111,8 +161,7 @@
 		needed = outvoteConfirmed
 	}
 	if c.votes++; c.votes >= needed {
-		c.advance(list) // what of it is used goes by the answers before
-		return true, errReplaced
+		return c.advance(list), errReplaced // what of it is used goes by the answers before
 	}
 	err = errOther
 	if list.serial < c.held.serial {
@@ -126,12 +175,13 @@
 	}
 	c.awaited = grantAfter // those that agree next may be what is out of date
 	c.recent.push(list)
+	c.note(list)
 	return c.use(restricted(c.used, list)), err
 }
 
 // use has a list used from now on, and tells whether that changes anything.
 func (c *claims) use(list *snapshot) (fresh bool) {
-	fresh = !list.sameServers(c.used)
+	fresh = !list.sameServers(c.used) || !list.sameWeights(c.used)
 	c.used = list
 	return fresh
 }
--- a/internal/discovery/snapshot.go
+++ b/internal/discovery/snapshot.go
@@ -90,6 +90,16 @@
 	return s.serial == o.serial && s.partial == o.partial && s.sameServers(o)
 }
 
+// sameWeights tells whether servers that both lists have weigh the same.
+func (s *snapshot) sameWeights(o *snapshot) bool {
+	for _, e := range s.entries {
+		if other, _, ok := o.find(e.Engine); ok && other.Weight != e.Weight {
+			return false
+		}
+	}
+	return true
+}
+
 // sameServers tells whether two lists have the same servers, by state, start and address.
 func (s *snapshot) sameServers(o *snapshot) bool {
 	if len(s.entries) != len(o.entries) {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -452,6 +452,7 @@
 }
 
 func (s *service) answer(msg []byte) {
+	was := s.list.Rev()
 	fresh, err := s.list.Answer(msg)
 	if err != nil {
 		s.log.Warn("list of engines", zap.Error(err), zap.Uint32("rev", s.list.Rev()))
@@ -464,8 +465,11 @@
 		s.deaf = false
 		s.log.Info("the name server answers again")
 	}
-	if fresh {
+	if fresh || s.list.Rev() != was {
+		s.serial = s.list.Rev()
 		s.log.Info("list of engines", zap.Uint32("rev", s.list.Rev()), zap.Int("engines", len(s.list.List())))
+	}
+	if fresh {
 		s.members(admission.Full)
 	}
 }
