A confirmed list holds against lower numbers; attempts of closed clients are recalled

A client that closes shows as one that closed its side; the module withdraws its attempt, which is refused once a write has begun, and nothing followed. After such an answer the list is asked for ten times a second, as before. Tests: TestLeftUndelivered as it was; TestOutvoted has 600 answers under a lower number, and another list under the same one.

--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -36,15 +36,16 @@
 	Work, Memory float64
 	Unsent       bool // nothing of it had left
 
-	out   bool
-	over  bool // it has ended, and its owner is yet to be told so
-	end   admission.End
-	conn  *conn
-	sent  bool
-	from  int64 // where its bytes begin on the connection
-	size  int   // how many they are
-	got   int
-	gotAt float64 // when the latest page came
+	out      bool
+	recalled bool // it was to be withdrawn, and bytes may have left
+	over     bool // it has ended, and its owner is yet to be told so
+	end      admission.End
+	conn     *conn
+	sent     bool
+	from     int64 // where its bytes begin on the connection
+	size     int   // how many they are
+	got      int
+	gotAt    float64 // when the latest page came
 }
 
 // Out tells whether the send's end is yet to be told.
@@ -191,53 +192,6 @@
 // withdraw takes a send back of which nothing has left, in one step with the question whether it has.
 func (c *conn) withdraw(j *Job) bool { return !j.sent || c.line.Withdraw(j.from, j.size) }
 
-// UnstickEvery is how often Unstick is to be called, in seconds.
-const UnstickEvery = 0.1
-
-// Unstick drops connections whose requests have to arrive by now and have not: they would arrive some time later. Whether the attempts are
-// still out does not matter: bytes of one that was given up arrive as well. And it drops those on which an answer has stopped short, or a
-// page does not come. An attempt whose bytes may not leave any more when it is called next is withdrawn.
-func (p *Pool) Unstick() {
-	for _, c := range p.conns {
-		late := c.expire()
-		if p.limits.Stall > 0 && !c.broken && c.stopped(p.now-p.limits.Stall) {
-			c.bad()
-		}
-		if c.stuckAt > 0 && p.now >= c.stuckAt {
-			c.stuckAt, late = 0, true
-		}
-		if (late || c.unwanted()) && !c.line.Delivered() {
-			c.retireFor(Undelivered)
-			c.line.Drop()
-		}
-	}
-}
-
-// expire withdraws attempts whose time to leave is over. It tells whether one has left in time and has to have arrived.
-func (c *conn) expire() (left bool) {
-	for _, j := range c.jobs() {
-		if j.LeaveBy == 0 || c.pool.now+UnstickEvery < j.LeaveBy {
-			continue
-		}
-		if c.withdraw(j) {
-			c.pool.endLater(j, admission.Moot)
-			continue
-		}
-		j.LeaveBy, left = 0, true
-	}
-	return left
-}
-
-// unwanted tells whether clients have left all attempts that are out here.
-func (c *conn) unwanted() bool {
-	for _, j := range c.out {
-		if !j.Unwanted || !j.sent {
-			return false
-		}
-	}
-	return len(c.out) > 0
-}
-
 // stopped tells whether an answer, or the pages of a result, have not gone on since then. The engine has the whole
 // result when it sends the first page.
 func (c *conn) stopped(since float64) bool {
@@ -257,6 +211,7 @@
 // Send carries a command to an engine.
 func (p *Pool) Send(j *Job) {
 	j.out, j.over, j.sent, j.conn, j.got, j.Pages = true, false, false, nil, 0, j.Pages[:0]
+	j.recalled = false
 	j.Work, j.Memory, j.Unsent = 0, 0, false
 	e := p.engines[j.Engine]
 	if e == nil || e.state != admission.Ready {
@@ -336,11 +291,17 @@
 	c.line.Append(b)
 }
 
-// Withdraw ends a send of which nothing has left; any other goes on.
+// Withdraw ends an attempt of which nothing has left. Any other goes on if it arrives soon.
 func (p *Pool) Withdraw(j *Job) {
-	if c := j.conn; c != nil && c.withdraw(j) {
+	c := j.conn
+	if c == nil {
+		return
+	}
+	if c.withdraw(j) {
 		p.endLater(j, admission.Moot)
+		return
 	}
+	j.recalled = true
 }
 
 // GiveUp ends a send that is out. One that is on its way is taken back, so that it is over on the wire before
--- a/internal/discovery/claims.go
+++ b/internal/discovery/claims.go
@@ -19,7 +19,7 @@
 //     lack it.
 //   - A drain is taken back only by a list with a higher number than the one that told it, or by a new start of the server.
 //   - Answers that contradict a list in hand that one answer has told take its place when they repeat, or follow one another, whatever their
-//     number. A list that answers in a row have told holds against older ones for much longer: a name server may be behind for seconds.
+//     number. A list that answers in a row have told holds against lower ones: a name server may be behind, or have lost its records.
 
 // How many answers in a row something takes. Until the list in hand is settled it is asked for ten times a second.
 const (
@@ -29,7 +29,7 @@
 	grantAfter = 4
 	// outvoteNew is for a list that only one answer has told to be replaced by one that contradicts it.
 	outvoteNew = grantAfter
-	// outvoteConfirmed is for a list that answers in a row have told: half a minute of nothing else, longer than a name server is behind.
+	// outvoteConfirmed is for a list that answers in a row have told, by others under its number: half a minute of nothing else.
 	outvoteConfirmed = 300
 )
 
@@ -48,6 +48,7 @@
 	awaited   int       // how many answers in a row have to agree before the list in hand is used whole
 	rival     *snapshot // the list of the last answer that contradicts the one in hand, nil: none since the last that agrees
 	votes     int       // answers in a row for the rival
+	stale     bool      // the last answer was older than the list in hand, or empty: it may stand in for one with news
 	recent    history   // the lists of the last answers that counted
 	used      *snapshot // what may be used
 	drains    map[uint32]drain
@@ -110,8 +111,8 @@
 	c.note(list)
 }
 
-// Unsettled tells whether the list in hand waits for other answers to agree.
-func (c *claims) Unsettled() bool { return c.awaited > 0 || c.rival != nil }
+// Unsettled tells whether the list in hand waits for other answers to agree, or the last one may hide news.
+func (c *claims) Unsettled() bool { return c.awaited > 0 || c.rival != nil || c.stale }
 
 // weigh takes in the list of an answer. Fresh: what may be used has changed.
 func (c *claims) weigh(list *snapshot) (fresh bool, err error) {
@@ -126,7 +127,7 @@
 
 // agree notes that an answer tells the list in hand.
 func (c *claims) agree() (fresh bool) {
-	c.rival, c.votes = nil, 0
+	c.rival, c.votes, c.stale = nil, 0, false
 	c.recent.push(c.held)
 	if c.awaited = max(c.awaited-1, 0); c.awaited > 0 {
 		return false
@@ -144,13 +145,21 @@
 func (c *claims) advance(list *snapshot) (fresh bool) {
 	c.note(list)
 	fresh = c.use(c.granted(c.recent.allow(c.used, list)))
-	c.held, c.confirmed, c.rival, c.votes, c.awaited = list, false, nil, 0, grantAfter-1
+	c.held, c.confirmed, c.rival, c.votes, c.awaited, c.stale = list, false, nil, 0, grantAfter-1, false
 	c.recent.push(list)
 	return fresh
 }
 
 // contradict takes in a list that can't follow the one in hand.
 func (c *claims) contradict(list *snapshot) (fresh bool, err error) {
+	err = errOther
+	if list.serial < c.held.serial {
+		err = errOlder
+	}
+	if c.confirmed && (err == errOlder || len(list.entries) == 0) { // late by all that is known, or all gone with no event
+		c.stale = true
+		return false, err
+	}
 	repeats := c.rival != nil && list.agrees(c.rival)
 	follows := c.rival != nil && list.serial > c.rival.serial
 	if c.rival = list; !repeats && !follows {
@@ -163,16 +172,6 @@
 	if c.votes++; c.votes >= needed {
 		return c.advance(list), errReplaced // what of it is used goes by the answers before
 	}
-	err = errOther
-	if list.serial < c.held.serial {
-		err = errOlder
-		if c.confirmed { // late by all that is known, and of no use
-			return false, err
-		}
-	}
-	if c.confirmed && len(list.entries) == 0 { // all gone with no event: not on one answer's word
-		return false, err
-	}
 	c.awaited = grantAfter // those that agree next may be what is out of date
 	c.recent.push(list)
 	c.note(list)
--- a/internal/discovery/claims_test.go
+++ b/internal/discovery/claims_test.go
@@ -73,7 +73,7 @@
 			{9, ab, 1, "", "ab"}, {1, abDrains, 1, "", "a"}, {9, ab, grantAfter - 1, "a", "a"}, {1, abDrains, 1, "", "a"}, {9, ab, 1, "", "a"},
 			{1, abDrains, 1, "", "a"}},
 		"an older list, once the one in hand is confirmed: nothing changes": {
-			{5, abDrains, grantAfter, "a", "a"}, {4, ab, outvoteConfirmed - 1, "a", "a"}, {5, abDrains, 1, "", "a"}},
+			{5, abDrains, grantAfter, "a", "a"}, {4, ab, 20, "a", "a"}, {5, abDrains, 1, "", "a"}},
 		"a name server that is behind for seconds, after a drain that one answer told": {
 			{5, abDrains, 1, "", "a"}, {4, ab, 50, "a", "a"}, {5, abDrains, grantAfter, "a", "a"}, {6, ab, grantAfter, "a", "ab"}},
 		"a server that comes back under its name": {
@@ -99,19 +99,26 @@
 	}
 }
 
-// TestOutvoted: a list that was confirmed and that no answer tells any more is given up after half a minute of questions.
+// TestOutvoted: a list that was confirmed holds against lower numbers, however long they go on, and against another list under its number
+// for half a minute, in which only what both have is used.
 func TestOutvoted(t *testing.T) {
 	f := settled(9, "a", "b")
-	for k := range outvoteConfirmed {
-		if !f.ready("b") {
-			t.Fatalf("given up after %d answers", k)
+	for range 2 * outvoteConfirmed {
+		if _, err := f.tell(1, "a", "-b"); err != errOlder || !f.ready("b") || !f.Unsettled() {
+			t.Fatal(err, f.readyNames("a", "b"))
 		}
-		if _, err := f.tell(1, "a", "-b"); (err == errReplaced) != (k == outvoteConfirmed-1) || !f.Unsettled() {
-			t.Fatal(k, err)
+	}
+	for k := range outvoteConfirmed {
+		_, err := f.tell(9, "a", "-b", "c")
+		if (err == errReplaced) != (k == outvoteConfirmed-1) || f.readyNames("a", "b", "c") != "a" && err != errReplaced {
+			t.Fatal(k, err, f.readyNames("a", "b", "c"))
 		}
 	}
-	if f.ready("b") || f.Rev() != 1 {
-		t.Errorf("ready %q at %d", f.readyNames("a", "b"), f.Rev())
+	for range grantAfter - 1 {
+		f.tell(9, "a", "-b", "c")
+	}
+	if f.readyNames("a", "b", "c") != "ac" {
+		t.Errorf("ready %q", f.readyNames("a", "b", "c"))
 	}
 }
 
