Recalled attempts are cut off only after a tenth of a second, and not held against the server

Cause: clients that leave in crowds have their attempts recalled; the check came up to at once after the write, when the server's system had not acknowledged it yet (that may take some hundredths of a second), the connection was reset, and the attempts ended as cut off, so that both servers were doubted and tried one request at a time, up to 3 s apart. Change: a request has to be undelivered at two looks, a tenth of a second apart, and the attempts end as cancelled.

--- a/internal/backends/engines.go
+++ b/internal/backends/engines.go
@@ -102,19 +102,20 @@
 }
 
 type conn struct {
-	pool    *Pool
-	engine  uint32
-	line    Line
-	up      bool
-	broken  bool // what came can't be read
-	retired bool // takes no more sends, and closes once nothing is out
-	parser  lineproto.Parser
-	out     map[Ref]*Job
-	waiting []*Job           // until it is up
-	spent   map[Ref]struct{} // given up here: an answer under these is late, and no other send's
-	usedAt  float64
-	stuckAt float64 // what is stuck then must not leave any more, 0: nothing is
-	halfAt  float64 // an answer that is not whole yet was begun then, 0: none
+	pool       *Pool
+	engine     uint32
+	line       Line
+	up         bool
+	broken     bool // what came can't be read
+	retired    bool // takes no more sends, and closes once nothing is out
+	parser     lineproto.Parser
+	out        map[Ref]*Job
+	waiting    []*Job           // until it is up
+	spent      map[Ref]struct{} // given up here: an answer under these is late, and no other send's
+	usedAt     float64
+	unwantedAt float64 // nobody waits for what is out, and it has not arrived since then, 0: it is not so
+	stuckAt    float64 // what is stuck then must not leave any more, 0: nothing is
+	halfAt     float64 // an answer that is not whole yet was begun then, 0: none
 }
 
 // New makes a pool without servers; dial begins a connection to one.
--- a/internal/backends/undelivered.go
+++ b/internal/backends/undelivered.go
@@ -19,9 +19,11 @@
 		if c.stuckAt > 0 && p.now >= c.stuckAt {
 			c.stuckAt, late = 0, true
 		}
-		if (late || c.unwanted()) && !c.line.Delivered() {
+		if late && !c.line.Delivered() {
 			c.retireFor(Undelivered)
 			c.line.Drop()
+		} else {
+			c.recall()
 		}
 	}
 }
@@ -41,6 +43,25 @@
 	return left
 }
 
+// recall drops a connection whose requests nobody waits for, where they have not arrived from one call to the next: a system may take some
+// hundredths of a second to acknowledge. The attempts end as cancelled, since it is not the server's doing.
+func (c *conn) recall() {
+	const longEnough = 0.9 * UnstickEvery
+	now := c.pool.now
+	switch {
+	case !c.unwanted() || c.line.Delivered():
+		c.unwantedAt = 0
+	case c.unwantedAt == 0:
+		c.unwantedAt = now
+	case now-c.unwantedAt >= longEnough:
+		c.retireFor(Undelivered)
+		c.line.Drop()
+		for _, j := range c.jobs() {
+			c.pool.endLater(j, admission.Cancelled)
+		}
+	}
+}
+
 // unwanted tells whether the clients of all attempts that are out here have left, or closed their sides.
 func (c *conn) unwanted() bool {
 	for _, j := range c.out {
--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -104,7 +104,7 @@
 	{"what the system holds counts as delivered", "internal/transport/delivery.go", "r.taken-int64(unacknowledged(c.raw))", "r.taken", "./internal/transport"},
 	{"the system sends on what it holds after a close", "internal/transport/delivery.go", "tcp.SetLinger(0)", "tcp.SetLinger(-1)", "./internal/transport"},
 	{"requests undelivered at a drain arrive", "internal/backends/undelivered.go", "c.stuckAt, late = 0, true", "c.stuckAt, late = 0, false", "./internal/backends"},
-	{"requests of clients that left arrive", "internal/backends/undelivered.go", "if (late || c.unwanted()) &&", "if late &&", "./internal/backends"},
+	{"requests of clients that left arrive", "internal/backends/undelivered.go", "case now-c.unwantedAt >= longEnough:", "case now-c.unwantedAt >= 1e9*longEnough:", "./internal/backends"},
 	{"who comes early finds room", "waittime/estimator.go", "if k < 0 || b.reservations[k].due > now+earlyTolerance {", "if k < 0 {", "./waittime"},
 	{"cold servers get four times their budget from all routers", "admission/brain.go", "const coldMargin = 0.5", "const coldMargin = 2.0", "./emulator/cluster"},
 }
