--- a/internal/discovery/claims_test.go
+++ b/internal/discovery/claims_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// TestRenewedOnStray: events of a renewed configuration that follow a stray don't give it the permission that it lacks.
+func TestRenewedOnStray(t *testing.T) {
+	f := settled(1, "a", "-b")
+	f.tell(5, "a", "b")
+	notice := Notice{Rev: 6}
+	notice.Pool = &struct {
+		All     bool     `json:"all"`
+		Targets []Target `json:"targets"`
+	}{Targets: []Target{{UID: "s-c", Endpoint: "10.1.0.9:4100", Zone: "east", Kind: "std", State: "draining"}}}
+	if fresh, err := f.Start(Known{Rev: 6, Notices: []Notice{notice}}); !fresh || err != nil || f.Rev() != 6 {
+		t.Fatal(fresh, err, f.Rev())
+	}
+	if got := f.readyNames("a", "b", "c"); got != "a" {
+		t.Errorf("ready %q", got)
+	}
+}
+
 // truth is the list of servers as it is, with the lists that it was and their numbers; numbering begins anew at each start.
 type truth struct {
 	lists    [][]string // of all times
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -87,10 +87,14 @@
 		}
 	}
 	list.serial = max(list.serial, k.Rev)
-	if fresh = list.serial > was; fresh || was == 0 {
+	fresh = list.serial > was
+	switch {
+	case was == 0 || fresh && f.confirmed:
 		f.settle(list)
-		f.lastAgreed = nil
+	case fresh: // it stands on a list that may not be true
+		f.advance(list)
 	}
+	f.lastAgreed = nil
 	return fresh, nil
 }
 
