--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -47,6 +47,7 @@
 	Ready() bool
 	Room(bytes int) bool // takes memory for what is not whole yet, or gives it back; false: there is no more
 	Bad(how string)
+	ClientClosing(why CloseReason) // a connection takes no more calls, and closes
 	Closed(s *Session)
 }
 
@@ -72,6 +73,7 @@
 	last    bool             // takes no more commands, and closes once nothing is open
 	turned  bool             // was turned away on arrival: its first message is still owed an answer
 	closed  bool             // what comes now crosses the close, and is nobody's
+	why     CloseReason      // the first reason to close it
 }
 
 // NewSession is a session at a desk. The scratch is where answers are put together, one after the other.
@@ -95,6 +97,7 @@
 	if err != nil && !s.closed { // nothing behind it can be read; what was answered before still goes out
 		s.desk.Bad(err.Error())
 		s.abandon()
+		s.note(Unreadable)
 		s.finish()
 	}
 }
@@ -110,9 +113,17 @@
 	}
 }
 
+// note keeps the first reason to close the connection.
+func (s *Session) note(why CloseReason) {
+	if s.why == Kept {
+		s.why = why
+	}
+}
+
 func (s *Session) finish() {
 	if !s.closed {
 		s.closed = true
+		s.desk.ClientClosing(s.why)
 		s.Line.Finish()
 	}
 }
@@ -121,6 +132,7 @@
 func (s *Session) Ended(how transport.Ending) {
 	if how == transport.Finished {
 		s.half = true
+		s.note(ClientClosed)
 		for _, seq := range slices.Sorted(maps.Keys(s.open)) {
 			if id, open := s.open[seq]; open {
 				s.desk.HalfClosed(id)
@@ -136,14 +148,18 @@
 
 // Last closes the connection as soon as nothing is open on it. What a client asks until then is shed: it would keep the
 // connection open for as long as it likes.
-func (s *Session) Last() {
+func (s *Session) Last(why CloseReason) {
 	s.last = true
+	s.note(why)
 	s.rest()
 }
 
 // TurnAway sheds the first that comes, and closes the connection. Closed at once, it would be reset under a call that
 // is on its way.
-func (s *Session) TurnAway() { s.last, s.turned = true, true }
+func (s *Session) TurnAway(why CloseReason) {
+	s.last, s.turned = true, true
+	s.note(why)
+}
 
 // Ticks come ten a second.
 const (
@@ -157,8 +173,11 @@
 	if s.quiet++; s.kept > 0 {
 		s.begun++
 	}
-	if s.begun >= wholeBy || !s.asked && s.quiet >= wholeBy || len(s.open) == 0 && s.quiet >= idleFor {
-		s.Last()
+	switch {
+	case s.begun >= wholeBy || !s.asked && s.quiet >= wholeBy:
+		s.Last(NothingWhole)
+	case len(s.open) == 0 && s.quiet >= idleFor:
+		s.Last(IdleLong)
 	}
 	if s.turned && s.quiet >= askBy {
 		s.turned = false
--- a/internal/router/close_test.go
+++ b/internal/router/close_test.go
@@ -120,7 +120,7 @@
 	h.call(c, "a")
 	h.waiting(1)
 	for s := range h.sessions {
-		s.Last()
+		s.Last(frontend.RouterEnds)
 	}
 	h.deliver(1)
 	if h.Owed() != 0 {
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -79,8 +79,11 @@
 	c.Serial = s.arrived
 	s.sessions[c] = struct{}{}
 	line.Start(nc)
-	if full || closing {
-		c.TurnAway()
+	switch {
+	case closing:
+		c.TurnAway(frontend.RouterEnds)
+	case full:
+		c.TurnAway(frontend.NoRoom)
 	}
 }
 
@@ -94,7 +97,7 @@
 		}
 	}
 	if spare != nil {
-		spare.Last()
+		spare.Last(frontend.RoomNeeded)
 	}
 	return spare != nil
 }
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -9,6 +9,7 @@
 	"dunereach/internal/config"
 	"dunereach/internal/discovery"
 	"dunereach/internal/fake"
+	"dunereach/internal/frontend"
 )
 
 // busy is a hall whose owner has been kept from its connections for 0.2 s when its test goes on: what came meanwhile has waited.
@@ -130,7 +131,7 @@
 		", at the end": func(b *busy) {
 			b.End()
 			for s := range b.sessions {
-				s.Last()
+				s.Last(frontend.RouterEnds)
 			}
 		},
 	}
--- a/internal/router/orders_test.go
+++ b/internal/router/orders_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dunereach/internal/fake"
+	"dunereach/internal/frontend"
 	"dunereach/internal/transport"
 )
 
@@ -104,7 +105,7 @@
 	case "decide":
 		l.last = true
 		for s := range l.sessions {
-			s.Last()
+			s.Last(frontend.RouterEnds)
 		}
 	case "take":
 		l.take()
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -405,7 +405,7 @@
 	const queued = 20 * time.Millisecond
 	listener.SetDeadline(time.Now().Add(queued))
 	for c := range s.sessions {
-		c.Last()
+		c.Last(frontend.RouterEnds)
 	}
 }
 
--- a/internal/router/trace.go
+++ b/internal/router/trace.go
@@ -3,6 +3,7 @@
 import (
 	"dunereach/admission"
 	"dunereach/internal/backends"
+	"dunereach/internal/frontend"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -25,6 +26,13 @@
 	}
 }
 
+// ClientClosing logs why the router closes a client's connection.
+func (r *Router) ClientClosing(why frontend.CloseReason) {
+	if line := r.log.Check(zap.InfoLevel, "client closing"); line != nil {
+		line.Write(zap.Stringer("why", why))
+	}
+}
+
 // Writing logs that an attempt leaves.
 func (r *Router) Writing(j *backends.Job) {
 	if line := r.log.Check(zap.DebugLevel, "attempt written"); line != nil {
