An arrival waits for room, and no client is closed while its request is on its way

Callers saw: a client right behind a crowd of others had its connection closed unread, with no log line, and was not served (TestCrowd).

Cause: a connection that is closed to make room stays in the table until its close is over. The table grew past clients' share into the places for turning away, and once these were taken too each arrival was closed unread. Busy processes delay the closes, so it came at times.

Change: an arrival waits where a connection gives room soon, and those behind it with the system. Only a connection on which nothing is on its way is closed for room: no open request, no half message, no input that the owner has not been given, no output that has not arrived, and, where it never asked, 0.3 s since its handshake. Lingering closes have descriptors of their own. The listener is closed once the system's queue is empty. Counts in the log.

Tests: TestBehindCrowd, TestCrowdSparesRequests, TestCrowdAtChange, TestArrivalWaits, TestArrivalWaitsInVain, TestUnreadStays, TestInTransit, TestSilentFor.

--- a/internal/frontend/closing.go
+++ b/internal/frontend/closing.go
@@ -13,6 +13,8 @@
 	Unreadable                      // what came can't be read
 	RouterEnds                      // the router has been asked to end
 	ClientClosed                    // the client has closed its side, and all is answered
+
+	CloseReasons = iota // how many there are
 )
 
 func (r CloseReason) String() string {
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -47,7 +47,7 @@
 	Ready() bool
 	Room(bytes int) bool // takes memory for what is not whole yet, or gives it back; false: there is no more
 	Bad(how string)
-	ClientClosing(why CloseReason) // a connection takes no more calls, and closes
+	ClientClosing(s *Session, why CloseReason) // a connection takes no more calls, and closes
 	Closed(s *Session)
 }
 
@@ -55,6 +55,8 @@
 type Line interface {
 	Append(b []byte) int64
 	Finish()
+	InputPending() bool  // bytes have come that were not fed yet
+	OutputPending() bool // bytes that were appended have not all arrived
 }
 
 // Session is one client's connection.
@@ -66,7 +68,7 @@
 	scratch *[]byte
 	open    map[int32]uint32 // commands by the sequence number of their call
 	kept    int              // bytes of an unfinished frame
-	begun   int              // ticks that the frame has been unfinished for
+	begun   int              // ticks that the frame has been unfinished for; of the first one, with those before the session
 	quiet   int              // ticks since the last whole message or answer
 	asked   bool             // a whole message has come
 	half    bool             // the client has said its last
@@ -123,7 +125,7 @@
 func (s *Session) finish() {
 	if !s.closed {
 		s.closed = true
-		s.desk.ClientClosing(s.why)
+		s.desk.ClientClosing(s, s.why)
 		s.Line.Finish()
 	}
 }
@@ -161,39 +163,6 @@
 	s.note(why)
 }
 
-// Ticks come ten a second.
-const (
-	wholeBy = 20 // a client sends a message in one go; one that sends half of it, or none at all, is owed a close in 3 s
-	askBy   = 3  // a new connection is opened for a call, which comes with it: the network's delay and some
-	idleFor = 50 // clients close idle connections after 4 s; what stays longer was forgotten
-)
-
-// Tick closes the connection of one that doesn't ask, or no more.
-func (s *Session) Tick() {
-	if s.quiet++; s.kept > 0 {
-		s.begun++
-	}
-	switch {
-	case s.begun >= wholeBy || !s.asked && s.quiet >= wholeBy:
-		s.Last(NothingWhole)
-	case len(s.open) == 0 && s.quiet >= idleFor:
-		s.Last(IdleLong)
-	}
-	if s.turned && s.quiet >= askBy {
-		s.turned = false
-		s.rest()
-	}
-}
-
-// Spare tells whether the connection can be closed to make room for another, and how well: those that never asked, though
-// they had time to, go first, then those that have been quiet for longest. A new connection's call may be on its way.
-func (s *Session) Spare() (rank int, ok bool) {
-	if rank = s.quiet; !s.asked && s.quiet >= askBy {
-		rank += 1 << 20
-	}
-	return rank, len(s.open) == 0 && !s.last && !s.closed
-}
-
 func (s *Session) rest() {
 	if (s.half || s.last && !s.turned) && len(s.open) == 0 {
 		s.finish()
--- a/internal/frontend/front_test.go
+++ b/internal/frontend/front_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"dunereach/internal/fake"
 	"dunereach/internal/script"
@@ -28,14 +29,16 @@
 	d.say("takes %d: call %d ref %s profile %s tenant %s allow %g effort %g memory %g, %q", d.last, seq, a.Ref, a.Profile,
 		a.Tenant, a.Allow, a.Effort, a.Memory, a.Statement)
 }
-func (d *desk) Left(id uint32)                { d.say("%d left", id) }
-func (d *desk) HalfClosed(id uint32)          { d.say("%d half-closed", id) }
-func (d *desk) Ready() bool                   { return d.ready }
-func (d *desk) Room(n int) bool               { d.kept += n; return d.kept < 200 }
-func (d *desk) Bad(how string)                { d.say("bad: %s", how) }
-func (d *desk) Closed(*Session)               { d.say("closed") }
-func (d *desk) ClientClosing(why CloseReason) { d.say("closing: %v", why) }
-func (d *desk) Finish()                       { d.say("finishes") }
+func (d *desk) Left(id uint32)                            { d.say("%d left", id) }
+func (d *desk) HalfClosed(id uint32)                      { d.say("%d half-closed", id) }
+func (d *desk) Ready() bool                               { return d.ready }
+func (d *desk) Room(n int) bool                           { d.kept += n; return d.kept < 200 }
+func (d *desk) Bad(how string)                            { d.say("bad: %s", how) }
+func (d *desk) Closed(*Session)                           { d.say("closed") }
+func (d *desk) ClientClosing(_ *Session, why CloseReason) { d.say("closing: %v", why) }
+func (d *desk) Finish()                                   { d.say("finishes") }
+func (d *desk) InputPending() bool                        { return false }
+func (d *desk) OutputPending() bool                       { return false }
 func (d *desk) Append(b []byte) int64 {
 	d.say("answers %s", fake.Show(b[4:]))
 	return 0
@@ -108,6 +111,8 @@
 	case "spare":
 		rank, ok := d.s.Spare()
 		d.say("can be spared: %v, %d", ok, rank)
+	case "waited": // milliseconds
+		d.s.Waited(time.Duration(seq) * time.Millisecond)
 	case "last":
 		d.s.Last(RouterEnds)
 	case "turn-away":
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -6,12 +6,12 @@
 	"pgregory.net/rapid"
 )
 
-// TestDivide: clients, servers and the reserve never pass the descriptors that there are, and usual clients have their third.
+// TestDivide: clients, lingering ones, servers and the reserve never pass the descriptors that there are, and usual clients have their third.
 func TestDivide(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3*reserve, 1<<20).Draw(t, "descriptors")
 		s := divide(n)
-		if taken := s.clients + s.turnedOff + s.servers + reserve; taken > n {
+		if taken := s.clients + s.turnedOff + s.lingering + s.servers + reserve; taken > n {
 			t.Errorf("%d of %d are taken: %+v", taken, n, s)
 		}
 		if s.clients < n/3 || s.servers < 1 || s.lingering < 1 {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -27,9 +27,11 @@
 func (w *wire) Withdraw(int64, int) bool {
 	return false
 }
-func (w *wire) Finish() {}
-func (w *wire) Drop()   {}
-func (w *wire) Bad()    {}
+func (w *wire) Finish()             {}
+func (w *wire) InputPending() bool  { return false }
+func (w *wire) OutputPending() bool { return false }
+func (w *wire) Drop()               {}
+func (w *wire) Bad()                {}
 
 type stage struct {
 	*Router
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -65,7 +65,8 @@
 	group    *errgroup.Group
 	ctx      context.Context
 	sessions map[*frontend.Session]struct{}
-	arrived  uint64 // connections of clients so far
+	arrived  uint64 // connections of clients that were taken in so far
+	waiting  arrivals
 	parts    split  // of the descriptors
 	scratch  []byte // answers are put together here
 	ticks    int
@@ -147,22 +148,29 @@
 	return group.Wait()
 }
 
-// accept hands on connections of clients until the listener's deadline, and survives a lack of descriptors.
-func (s *service) accept(l net.Listener) error {
+// accept hands on connections of clients until the listener's deadline, and then those that the system has accepted by then. It survives
+// a lack of descriptors.
+func (s *service) accept(l *net.TCPListener) error {
 	defer close(s.accepted)
+	defer l.Close()
+	var backlog acceptBacklog
 	for {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
+			backlog.came = true
 			select {
 			case s.arrivals <- nc:
 			case <-s.ctx.Done():
 				nc.Close()
 				return nil
 			}
-		case errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded):
-			l.Close()
+		case errors.Is(err, net.ErrClosed):
 			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if backlog.empty(l) {
+				return nil
+			}
 		default:
 			s.log.Warn("accept", zap.Error(err))
 			select {
@@ -319,6 +327,7 @@
 	if s.state != nil {
 		defer s.state.End(s.Router)
 	}
+	defer s.dropHeld()
 	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.Stringer("listen", s.cfg.Listen),
 		zap.Int("engines", len(s.list.List())))
 
@@ -344,7 +353,7 @@
 			take()
 		case e := <-s.inbox:
 			s.Deliver(s.clock.now(), e)
-		case nc := <-s.arrivals:
+		case nc := <-s.accepting():
 			s.arrive(nc, closing)
 		case <-accepted:
 			accepted = nil
@@ -362,6 +371,7 @@
 			for c := range s.sessions {
 				c.Tick()
 			}
+			s.waiting.retry = true
 			if s.ticks++; s.waits || s.ticks%askEvery == 0 {
 				s.askAnew()
 				s.question()
@@ -390,9 +400,12 @@
 		case <-s.ctx.Done():
 			return nil
 		}
+		if s.waiting.retry {
+			s.arriveHeld(closing)
+		}
 		next := s.Tick(s.clock.now())
 		timer.Reset(time.Duration(max(next-s.clock.now(), 0) * 1e9))
-		if closing && accepted == nil && len(s.sessions) == 0 {
+		if closing && accepted == nil && len(s.sessions) == 0 && s.waiting.held == nil {
 			return nil
 		}
 	}
@@ -415,7 +428,7 @@
 		select {
 		case e := <-s.inbox:
 			s.Deliver(s.clock.now(), e)
-		case nc := <-s.arrivals:
+		case nc := <-s.accepting():
 			s.arrive(nc, false)
 		default:
 			return
@@ -429,6 +442,7 @@
 func (s *service) tidy() {
 	s.at(s.clock.now())
 	s.pool.Tidy()
+	s.logCounts()
 	s.watchStall(s.readyServers())
 	if s.tidied++; s.tidied%auditEvery == 0 {
 		s.Audit()
@@ -440,8 +454,6 @@
 	}
 }
 
-func (s *service) Closed(c *frontend.Session) { delete(s.sessions, c) }
-
 func (s *service) dial(addr netip.AddrPort, sink transport.Sink) backends.Line {
 	// A hundred statements; an engine that takes nothing for longer is as good as silent.
 	const limit = 4 << 20
--- a/internal/router/trace.go
+++ b/internal/router/trace.go
@@ -27,9 +27,16 @@
 }
 
 // ClientClosing logs why the router closes a client's connection.
-func (r *Router) ClientClosing(why frontend.CloseReason) {
+func (r *Router) ClientClosing(c *frontend.Session, why frontend.CloseReason) {
 	if line := r.log.Check(zap.InfoLevel, "client closing"); line != nil {
-		line.Write(zap.Stringer("why", why))
+		line.Write(zap.Uint64("client", c.Serial), zap.Stringer("why", why))
+	}
+}
+
+// clientArrived logs that a client's connection was taken in.
+func (r *Router) clientArrived(c *frontend.Session, connections int) {
+	if line := r.log.Check(zap.DebugLevel, "client arrived"); line != nil {
+		line.Write(zap.Uint64("client", c.Serial), zap.Int("connections", connections))
 	}
 }
 
--- /dev/null
+++ b/internal/transport/input_test.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestInTransit: input is pending from its arrival until the owner has been given it, also while the reader holds it; output is until the
+// other side's system has it.
+func TestInTransit(t *testing.T) {
+	_, c, s, there, deliver := accepted(t, 4)
+	if c.InputPending() || c.OutputPending() {
+		t.Error("nothing has been sent")
+	}
+	there.Write([]byte("x"))
+	until(t, "input is not pending", c.InputPending)
+	deliver()
+	s.want(t, "fed x")
+	if c.InputPending() {
+		t.Error("input is pending that the owner has been given")
+	}
+	c.Append(make([]byte, undeliverable))
+	if !c.OutputPending() {
+		t.Error("output is not pending")
+	}
+	if _, err := io.CopyN(io.Discard, there, undeliverable); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "output is pending", func() bool { return !c.OutputPending() })
+}
+
+// TestSilentFor: silence counts from the handshake, before the connection is accepted.
+func TestSilentFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	from := time.Now()
+	there, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	const wait = 120 * time.Millisecond
+	time.Sleep(wait)
+	here, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer here.Close()
+	const step = 20 * time.Millisecond // of the system's clock for it
+	if silent := SilentFor(here); silent < wait-step || silent > time.Since(from)+step {
+		t.Errorf("silent for %v after %v", silent, time.Since(from))
+	}
+	there.Write([]byte("x"))
+	until(t, "input does not end the silence", func() bool { return SilentFor(here) < wait-step })
+	if here, _ := net.Pipe(); SilentFor(here) != 0 {
+		t.Error("what is no socket is silent")
+	}
+}
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -46,6 +46,7 @@
 // Entry is a call on a sink.
 type Entry struct {
 	sink  Sink
+	conn  *Conn // of data
 	what  uint8
 	data  []byte
 	how   Ending
@@ -68,6 +69,7 @@
 	case isUp:
 		e.sink.Up()
 	case isData:
+		e.conn.delivered += uint64(len(e.data))
 		e.sink.Feed(e.data)
 		e.taken <- struct{}{}
 	case isEnd:
@@ -92,6 +94,9 @@
 	return &Net{ctx: ctx, group: group, inbox: inbox, room: room, most: lingering}
 }
 
+// Lingering is how many connections are in a lingering close.
+func (n *Net) Lingering() int { return int(n.linger.Load()) }
+
 func (n *Net) post(e Entry) {
 	e.at = time.Now()
 	select {
@@ -113,6 +118,8 @@
 	whole    bool          // the other side never reads on once it has said its last
 	shut     atomic.Bool   // this side has said its last: what still comes is nobody's
 
+	delivered uint64 // bytes of the other side that the owner has been given; the owner's
+
 	mu     sync.Mutex
 	out    []byte
 	holes  []hole // what was withdrawn from it
@@ -154,6 +161,7 @@
 // Start runs a connection that is up, until it or the context ends. Finish ends it in a lingering close.
 func (c *Conn) Start(nc net.Conn) {
 	c.mild = true
+	c.attach(nc) // before the owner can ask what is on its way
 	c.net.group.Go(func() error { c.run(nc, 4<<10); return nil })
 }
 
@@ -172,13 +180,13 @@
 			return nil
 		}
 		c.net.post(Entry{sink: c.sink, what: isUp})
+		c.attach(nc)
 		c.run(nc, 16<<10)
 		return nil
 	})
 }
 
 func (c *Conn) run(nc net.Conn, size int) {
-	c.attach(nc)
 	stop := context.AfterFunc(c.ctx, func() { c.discardUndelivered(nc); nc.Close() })
 	defer stop()
 	written := make(chan struct{})
@@ -221,7 +229,7 @@
 				return Closed
 			}
 		} else if n > 0 {
-			c.net.post(Entry{sink: c.sink, what: isData, data: buf[:n], taken: taken})
+			c.net.post(Entry{sink: c.sink, conn: c, what: isData, data: buf[:n], taken: taken})
 			select {
 			case <-taken:
 			case <-c.net.ctx.Done():
