A turn on a cold server isn't used twice over a restart, and not past what a window allows

Callers would see: a cold server that falls under turns, which the rule on slow start bars.

Cause, found by the new property: (1) a router that restarts within its turn uses it again; (2) a turn is one request of the lane's cost mark, or as many smaller ones, and on a small server a whole turn of smaller ones is more than a window allows.

Evidence: TestColdBudgets draws 10,000 deployments of 1 to 60 routers that send all they may, up to a third restarted within a window.

--- a/admission/brain.go
+++ b/admission/brain.go
@@ -471,7 +471,12 @@
 	}
 	first := float64((uint32(b.set.Me) + e.Engine) % uint32(b.set.Routers)) // another router at each engine
 	turns := func(age float64) float64 { return math.Floor((since(age)/b.mark - first) / n) }
-	return (turns(age) - turns(age-b.set.FallWindow/2)) * b.mark
+	before := max(age-b.set.FallWindow/2, b.began-e.ReadyAt) // the turn at the start of this process may have been used by the one before it
+	turn := (turns(age) - turns(before)) * b.mark
+	if e.cold.most(b.now) > 0 { // a server may bear less in a window than a turn: one request then, or as many smaller ones
+		turn = min(turn, window)
+	}
+	return turn
 }
 
 // needs tells what this router would have of the fleet's wholes: of a cold engine the work that it lets in by the engine's part
--- /dev/null
+++ b/admission/cold_budget_test.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// coldFleet is routers that send one cold server all that their budgets let them, on virtual time.
+type coldFleet struct {
+	brain   *Brain
+	draw    *rand.Rand
+	servers []engine  // the server as each router knows it
+	told    []float64 // when each hears of the server
+	began   []float64 // when each router's process started
+	least   float64   // work of a request
+	most    float64
+	sent    []coldAttempt
+}
+
+type coldAttempt struct{ at, work float64 }
+
+const coldStep = 0.05 // seconds
+
+// newColdFleet draws a deployment. A router's requests are of any size up to the lane's mark.
+func newColdFleet(draw *rand.Rand, routers int) *coldFleet {
+	between := func(least, most float64) float64 { return least + (most-least)*draw.Float64() }
+	set := Settings{Routers: routers, Tick: 0.005, KindCores: []float64{8}, ColdFrom: between(0.1, 0.6), WarmUp: between(4, 30),
+		FallMultiple: between(1.2, 3), FallWindow: between(0.5, 2), Profiles: []Profile{{Target: math.Pow(10, between(-1.5, 0.7)), Benefit: 1, Threads: 1}}}
+	f := &coldFleet{brain: New(set, 0, &deafHost{}), draw: draw}
+	f.most = f.brain.mark
+	f.least = f.most * math.Pow(10, between(-3, 0))
+	cores := float64(4 + draw.IntN(61))
+	for range routers {
+		f.servers = append(f.servers, engine{Entry: Entry{Engine: uint32(draw.IntN(9999)), ReadyAt: 1, State: Ready}, cores: cores})
+		f.told, f.began = append(f.told, 1+between(0, 0.2)), append(f.began, 0)
+	}
+	for k := range f.servers {
+		f.servers[k].Engine = f.servers[0].Engine
+		f.restart(k, 0)
+	}
+	return f
+}
+
+func (f *coldFleet) work() float64 { return f.least * math.Pow(f.most/f.least, f.draw.Float64()) }
+
+// restart has a router forget what it has sent.
+func (f *coldFleet) restart(router int, now float64) {
+	f.began[router] = now
+	f.servers[router].cold = newWindow(f.brain.set.FallWindow, 10)
+}
+
+// send has each router send all that it may.
+func (f *coldFleet) send(now float64) {
+	b := f.brain
+	b.now = now
+	for k := range f.servers {
+		e := &f.servers[k]
+		if now < f.told[k] {
+			continue
+		}
+		b.set.Me, b.began = k, f.began[k]
+		for refused := 0; refused < 4; { // some size that fits
+			work := f.work()
+			if e.cold.most(now)+work > b.coldBudget(e) {
+				refused++
+				continue
+			}
+			e.cold.add(now, work)
+			f.sent = append(f.sent, coldAttempt{now, work})
+		}
+	}
+}
+
+// worst is the most work in a window, as a part of what the rule allows then.
+func (f *coldFleet) worst() (part float64) {
+	set, sum, first, total := f.brain.set, 0.0, 0, 0.0
+	for _, a := range f.sent {
+		total += a.work
+	}
+	mean := total / float64(max(len(f.sent), 1))
+	for _, a := range f.sent {
+		for sum += a.work; f.sent[first].at <= a.at-set.FallWindow+coldStep/2; first++ {
+			sum -= f.sent[first].work
+		}
+		age := (a.at - 1) / set.WarmUp
+		n := set.FallMultiple * f.servers[0].cores * (set.ColdFrom + (1-set.ColdFrom)*age*age) * set.FallWindow / mean
+		allowed := n + 2*math.Sqrt(n) + 2
+		if n < 30 {
+			allowed = n + 3*math.Sqrt(n) + 3
+		}
+		part = max(part, sum/mean/allowed)
+	}
+	return part
+}
+
+// TestColdBudgets guards against routers that send a cold server more than it bears, all together and all that they may: the rule's bound holds
+// in each window, with up to a third of the routers restarted within one, and some told later than others.
+func TestColdBudgets(t *testing.T) {
+	const cases, longest, most = 10000, 4.0, 60
+	worst := 0.0
+	for seed := range uint64(cases) {
+		draw := rand.New(rand.NewPCG(seed, 2))
+		f := newColdFleet(draw, 1+draw.IntN(most))
+		restarts := draw.IntN(len(f.servers)/3 + 1)
+		restartAt := 1 + 3*draw.Float64()
+		end := 1 + min(longest, f.brain.set.WarmUp)
+		for now := 1.0; now < end; now += coldStep {
+			if now >= restartAt {
+				for range restarts {
+					f.restart(draw.IntN(len(f.servers)), now)
+				}
+				restarts = 0
+			}
+			f.send(now)
+		}
+		part := f.worst()
+		if worst = max(worst, part); part > 1 {
+			t.Fatalf("seed %d: %d routers send %.2f of what the rule allows", seed, len(f.servers), part)
+		}
+	}
+	t.Logf("%.2f of what the rule allows at most", worst)
+}
