--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= deploy/example.json
 LISTEN ?= 127.0.0.1:4100
 
-.PHONY: build test lint run demo demo-fleet bench fuzz explore schema expect show-budgets show-expect show-owner show-failover show-state show-scale soak-fleet soak-list
+.PHONY: build test lint run demo demo-fleet bench fuzz explore schema expect show-budgets show-expect show-owner show-failover show-state show-scale soak-fleet soak-list soak-lives
 
 build:
 	mkdir -p bin
@@ -84,6 +84,11 @@
 soak-list:
 	go test ./cmd/dunereach -count=1 -run TestListSoak -v -timeout 20m -soak 10m -soak-seed $(SEED)
 
+# Lives of router processes under drawn faults, SEEDS seeds from SEED on; some seven seconds a seed.
+SEEDS ?= 50
+soak-lives:
+	go test ./cmd/dunereach -count=1 -run TestLifeSoak -v -timeout 60m -life-seed $(SEED) -life-seeds $(SEEDS)
+
 # Ten minutes of drawn faults over five keepers and forty routers; its table is kept in docs/soak-fleet.md.
 soak-fleet: build
 	bin/duneshow soak-fleet 10
--- a/cmd/dunereach/crowd_states_test.go
+++ b/cmd/dunereach/crowd_states_test.go
@@ -96,7 +96,7 @@
 }
 
 func inAcceptQueue(w *town, _ *fake.Client) {
-	w.cmd.Process.Signal(syscall.SIGSTOP)
+	w.standStill()
 	w.crowd(mixedCrowd, sparingCrowd)
 	late := fake.NewClient(w.t, w.addr)
 	seq := w.call(late, "lookup", 30000, "SELECT 1")
@@ -106,7 +106,7 @@
 }
 
 func inReceiveBuffer(w *town, c *fake.Client) {
-	w.cmd.Process.Signal(syscall.SIGSTOP)
+	w.standStill()
 	seq := w.call(c, "lookup", 30000, "SELECT 1")
 	w.crowd(mixedCrowd, sparingCrowd)
 	w.cmd.Process.Signal(syscall.SIGCONT)
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 	"unicode/utf8"
 
 	"dunereach/internal/thrift"
@@ -20,9 +21,10 @@
 	Profile, Tenant, Team []byte  // Team: as the call has it, where the operators' file lets it say so
 	Allow, Effort, Memory float64 // seconds, seconds, MB
 	Statement             []byte
-	Key                   []byte // commands of ordered profiles with the same run one after the other
-	Token                 []byte // of a uniqued command: by it engines know a repeat
-	have                  uint   // fields that came, by their place in the table
+	Key                   []byte  // commands of ordered profiles with the same run one after the other
+	Token                 []byte  // of a uniqued command: by it engines know a repeat
+	Waited                float64 // seconds for which it has been here unread: its client has waited as long
+	have                  uint    // fields that came, by their place in the table
 }
 
 // Caller is who asked, by the number that its protocol gives the call. A command that it holds gets one answer.
@@ -45,6 +47,7 @@
 	Left(id uint32)
 	HalfClosed(id uint32) // its client has said its last, and may have left or still read
 	Ready() bool
+	Behind() bool        // what is fed may have been here for a while
 	Room(bytes int) bool // takes memory for what is not whole yet, or gives it back; false: there is no more
 	Bad(how string)
 	ClientClosing(s *Session, why CloseReason) // a connection takes no more calls, and closes
@@ -55,27 +58,30 @@
 type Line interface {
 	Append(b []byte) int64
 	Finish()
-	InputPending() bool  // bytes have come that were not fed yet
-	OutputPending() bool // bytes that were appended have not all arrived
+	InputPending() bool      // bytes have come that were not fed yet
+	InputAge() time.Duration // of the newest bytes
+	OutputPending() bool     // bytes that were appended have not all arrived
 }
 
 // Session is one client's connection.
 type Session struct {
-	Line    Line
-	Serial  uint64 // of its arrival: an older connection has a lower one
-	desk    Desk
-	frames  thrift.Frames
-	scratch *[]byte
-	open    map[int32]uint32 // commands by the sequence number of their call
-	kept    int              // bytes of an unfinished frame
-	begun   int              // ticks that the frame has been unfinished for; of the first one, with those before the session
-	quiet   int              // ticks since the last whole message or answer
-	asked   bool             // a whole message has come
-	half    bool             // the client has said its last
-	last    bool             // takes no more commands, and closes once nothing is open
-	turned  bool             // was turned away on arrival: its first message is still owed an answer
-	closed  bool             // what comes now crosses the close, and is nobody's
-	why     CloseReason      // the first reason to close it
+	Line     Line
+	Serial   uint64 // of its arrival: an older connection has a lower one
+	desk     Desk
+	frames   thrift.Frames
+	scratch  *[]byte
+	open     map[int32]uint32 // commands by the sequence number of their call
+	kept     int              // bytes of an unfinished frame
+	begun    int              // ticks that the frame has been unfinished for; of the first one, with those before the session
+	quiet    int              // ticks since the last whole message or answer
+	asked    bool             // a whole message has come
+	half     bool             // the client has said its last
+	last     bool             // takes no more commands, and closes once nothing is open
+	early    int              // bytes that came before the session began and are yet to be fed, and for how long the last of them had been here
+	earlyFor time.Duration
+	turned   bool        // was turned away on arrival: its first message is still owed an answer
+	closed   bool        // what comes now crosses the close, and is nobody's
+	why      CloseReason // the first reason to close it
 }
 
 // NewSession is a session at a desk. The scratch is where answers are put together, one after the other.
@@ -92,6 +98,7 @@
 		return
 	}
 	err := s.frames.Feed(b, s.frame)
+	s.early = max(s.early-len(b), 0)
 	was := s.kept
 	if s.kept = s.frames.Kept(); !s.desk.Room(s.kept-was) && err == nil {
 		err = errRoom
@@ -208,6 +215,7 @@
 			s.except(string(name), seq, thrift.ProtocolError, bad)
 			return nil
 		}
+		a.Waited = s.waitedFor().Seconds()
 		s.desk.Take(s, seq, &a)
 	case "cancel":
 		if of, ok := readCancel(&r); ok {
--- a/internal/frontend/front_test.go
+++ b/internal/frontend/front_test.go
@@ -38,6 +38,8 @@
 func (d *desk) ClientClosing(_ *Session, why CloseReason) { d.say("closing: %v", why) }
 func (d *desk) Finish()                                   { d.say("finishes") }
 func (d *desk) InputPending() bool                        { return false }
+func (d *desk) InputAge() time.Duration                   { return 0 }
+func (d *desk) Behind() bool                              { return false }
 func (d *desk) OutputPending() bool                       { return false }
 func (d *desk) Append(b []byte) int64 {
 	d.say("answers %s", fake.Show(b[4:]))
@@ -112,7 +114,7 @@
 		rank, ok := d.s.Spare()
 		d.say("can be spared: %v, %d", ok, rank)
 	case "waited": // milliseconds
-		d.s.Waited(time.Duration(seq) * time.Millisecond)
+		d.s.Waited(transport.Arrival{Silent: time.Duration(seq) * time.Millisecond})
 	case "last":
 		d.s.Last(RouterEnds)
 	case "turn-away":
--- a/internal/frontend/quiet.go
+++ b/internal/frontend/quiet.go
@@ -1,6 +1,10 @@
 package frontend
 
-import "time"
+import (
+	"time"
+
+	"dunereach/internal/transport"
+)
 
 // This file judges connections that ask nothing: when they are closed, and which can be closed to make room for others. One whose request
 // is on its way is never closed: new, with input that has not been read, with half a message that may become whole, or with requests open.
@@ -17,11 +21,23 @@
 	rankQuiet = 1 << 20
 )
 
-// Waited counts, before anything is fed, the time for which the connection has been silent already: with the system, before the router
-// took it in.
-func (s *Session) Waited(silent time.Duration) {
-	s.quiet = int(min(silent/TickEvery, wholeBy))
+// Waited counts, before anything is fed, what the connection has brought before the router took it in, and for how long it has been silent.
+func (s *Session) Waited(arrival transport.Arrival) {
+	s.quiet = int(min(arrival.Silent/TickEvery, wholeBy))
 	s.begun = s.quiet
+	s.early, s.earlyFor = arrival.Bytes, arrival.Silent
+}
+
+// waitedFor is for how long a message that is read now has been here at least: with the system before the connection was taken in, or
+// while the owner was behind.
+func (s *Session) waitedFor() time.Duration {
+	switch {
+	case s.early > 0:
+		return s.earlyFor
+	case s.desk.Behind():
+		return s.Line.InputAge()
+	}
+	return 0
 }
 
 // Tick closes the connection of one that doesn't ask, or no more.
--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -122,7 +122,7 @@
 	s.arrived++
 	c.Serial = s.arrived
 	if mayHaveWaited {
-		c.Waited(transport.SilentFor(nc))
+		c.Waited(transport.ArrivalOf(nc))
 	}
 	s.sessions[c] = struct{}{}
 	s.clientArrived(c, len(s.sessions))
--- a/internal/router/behind.go
+++ b/internal/router/behind.go
@@ -24,6 +24,9 @@
 	sign    float64 // the last sign of being behind
 }
 
+// Behind tells whether the owner is behind its connections: input may have lain unread for a while.
+func (r *Router) Behind() bool { return r.backlog.held }
+
 // WatchBacklog has the router hold attempts whenever its owner has been delayed. The owner has to call Tick at least every 0.05 s.
 func (r *Router) WatchBacklog() { r.backlog.watched = true }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -216,6 +216,8 @@
 	if r.set.Longest > 0 { // no client waits longer, and nothing may be kept for longer
 		a.Allow = min(a.Allow, r.set.Longest)
 	}
+	const leastAllow = 0.001                    // seconds; the module refuses what can't be in time
+	a.Allow = max(a.Allow-a.Waited, leastAllow) // what is left of it
 	*c = command{client: client, seq: seq, taken: r.now, dueBy: r.now + a.Allow, job: backends.Job{ID: r.lastID, Number: -1, Ref: a.Ref,
 		Profile: r.set.Profiles[profile], Statement: append(c.job.Statement[:0], a.Statement...), Token: append(c.job.Token[:0], a.Token...), Level: noPriority,
 		Pages: c.job.Pages}}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sort"
 	"testing"
+	"time"
 
 	"dunereach/admission"
 	"dunereach/internal/backends"
@@ -27,11 +28,12 @@
 func (w *wire) Withdraw(int64, int) bool {
 	return false
 }
-func (w *wire) Finish()             {}
-func (w *wire) InputPending() bool  { return false }
-func (w *wire) OutputPending() bool { return false }
-func (w *wire) Drop()               {}
-func (w *wire) Bad()                {}
+func (w *wire) Finish()                 {}
+func (w *wire) InputPending() bool      { return false }
+func (w *wire) InputAge() time.Duration { return 0 }
+func (w *wire) OutputPending() bool     { return false }
+func (w *wire) Drop()                   {}
+func (w *wire) Bad()                    {}
 
 type stage struct {
 	*Router
--- a/internal/transport/input.go
+++ b/internal/transport/input.go
@@ -25,6 +25,21 @@
 	return info != nil && info.Bytes_received > c.delivered
 }
 
+// InputAge is for how long the newest bytes of the other side have been here, 0 where the system can't tell.
+func (c *Conn) InputAge() time.Duration {
+	c.mu.Lock()
+	raw := c.raw
+	c.mu.Unlock()
+	if raw == nil {
+		return 0
+	}
+	info := tcpInfo(raw)
+	if info == nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // OutputPending tells whether the other side's system has yet to acknowledge some of what was appended.
 func (c *Conn) OutputPending() bool {
 	c.mu.Lock()
@@ -33,22 +48,28 @@
 	return len(c.out) > 0 || r.taken < r.begun || unacknowledged(c.raw) > 0
 }
 
-// SilentFor is for how long nothing has come on a connection, counted from its handshake where nothing ever has. It includes the time
-// in the system's queue of accepted connections. Where the system can't tell it is 0.
-func SilentFor(connection net.Conn) time.Duration {
+// Arrival is what a connection has brought before it is accepted.
+type Arrival struct {
+	Silent time.Duration // nothing has come for so long, counted from the handshake where nothing ever has
+	Bytes  int           // that have come
+}
+
+// ArrivalOf looks at a connection that nothing was read from. It includes the time in the system's queue of accepted connections. Where
+// the system can't tell it is zero.
+func ArrivalOf(connection net.Conn) Arrival {
 	socket, ok := connection.(syscall.Conn)
 	if !ok {
-		return 0
+		return Arrival{}
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return 0
+		return Arrival{}
 	}
 	info := tcpInfo(raw)
 	if info == nil {
-		return 0
+		return Arrival{}
 	}
-	return time.Duration(info.Last_ack_recv) * time.Millisecond
+	return Arrival{time.Duration(info.Last_ack_recv) * time.Millisecond, int(info.Bytes_received)}
 }
 
 // tcpInfo is what the system knows of a connection, nil where it can't tell.
--- a/internal/transport/input_test.go
+++ b/internal/transport/input_test.go
@@ -31,8 +31,8 @@
 	until(t, "output is pending", func() bool { return !c.OutputPending() })
 }
 
-// TestSilentFor: silence counts from the handshake, before the connection is accepted.
-func TestSilentFor(t *testing.T) {
+// TestArrivalOf: silence counts from the handshake, before the connection is accepted.
+func TestArrivalOf(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -52,12 +52,15 @@
 	}
 	defer here.Close()
 	const step = 20 * time.Millisecond // of the system's clock for it
-	if silent := SilentFor(here); silent < wait-step || silent > time.Since(from)+step {
+	if silent := ArrivalOf(here).Silent; silent < wait-step || silent > time.Since(from)+step {
 		t.Errorf("silent for %v after %v", silent, time.Since(from))
 	}
 	there.Write([]byte("x"))
-	until(t, "input does not end the silence", func() bool { return SilentFor(here) < wait-step })
-	if here, _ := net.Pipe(); SilentFor(here) != 0 {
+	until(t, "input does not end the silence", func() bool { return ArrivalOf(here).Silent < wait-step })
+	if got := ArrivalOf(here).Bytes; got != 1 {
+		t.Errorf("%d bytes have come, want 1", got)
+	}
+	if here, _ := net.Pipe(); ArrivalOf(here).Silent != 0 {
 		t.Error("what is no socket is silent")
 	}
 }
