Routers ask a name server that is behind at their usual rate, and log it twice

Operators saw: while the name server tells an older list than the configuration's, each router asks ten times a second and writes as many lines, for as long as it lasts; at 1,600 routers that is 16,000 questions a second.

Cause: each such answer may stand in for one with news, so it was asked again at once; nothing told a stray from a server that is behind.

A line when answers begin to be odd and one when they are good again, with their number. What one answer takes away is as before (TestOutdated).

There is no jitter: the usual rate has none.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -74,6 +74,7 @@
 	waits    bool        // the last question has no answer yet
 	heardAt  float64     // the name server's last answer
 	deaf     bool        // it is missing, and the log says so
+	odd      oddAnswers  // its last answers
 	fleet    Fleet       // nil: none
 	state    State       // nil: none
 	subset   *subsetView // nil: the module sees the whole list
@@ -463,16 +464,36 @@
 	return line
 }
 
+// oddAnswers is answers of the name server in a row with the same fault.
+type oddAnswers struct {
+	fault string
+	count int
+}
+
+// logOdd writes a line where answers begin to be odd, or odd in another way, and one where they are good again.
+func (s *service) logOdd(err error) {
+	was := s.odd
+	switch {
+	case err != nil && err.Error() == was.fault:
+		s.odd.count++
+		return
+	case err != nil:
+		s.odd = oddAnswers{err.Error(), 1}
+		s.log.Warn("list of engines", zap.Error(err), zap.Uint32("rev", s.list.Rev()))
+	case was.count > 0:
+		s.odd = oddAnswers{}
+		s.log.Info("the name server's answers are good again", zap.String("were", was.fault), zap.Int("answers", was.count))
+	}
+}
+
 func (s *service) answer(msg []byte) {
 	was := s.list.Rev()
 	fresh, err := s.list.Answer(msg)
-	if err != nil {
-		s.log.Warn("list of engines", zap.Error(err), zap.Uint32("rev", s.list.Rev()))
-	}
+	s.logOdd(err)
 	if errors.As(err, &discovery.Unread{}) {
 		return
 	}
-	s.waits = s.list.Unsettled()
+	s.waits = s.list.Unsettled() && !s.list.Outdated()
 	if s.heardAt = s.clock.now(); s.deaf {
 		s.deaf = false
 		s.log.Info("the name server answers again")
