--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -22,8 +22,8 @@
 	crowdedFor = 10
 )
 
-// arrivals is what the owner knows of clients' connections that arrive.
-type arrivals struct {
+// arrivalState is what the owner knows of clients' connections that arrive.
+type arrivalState struct {
 	held      net.Conn // waits for room, nil: none does. Others wait behind it with the system
 	heldSince float64  // seconds
 	heldAt    float64  // when an arrival last began to wait, in seconds
