Planted bugs for what was mended; the cold margin keeps its own line

Three planted bugs come: shares of cold servers too large, a hung server that is never suspected, room made over unread input; all are caught.

--- a/admission/brain.go
+++ b/admission/brain.go
@@ -444,8 +444,9 @@
 	return !b.isCold(e) || e.cold.most(b.now)+p.work <= b.coldBudget(e)
 }
 
+const coldMargin = 0.5
+
 const (
-	coldMargin = 0.5
 	// Where turns come too seldom, smaller requests go by shares of one part of the budget and all by turns of the other. Shares take
 	// their part of a window and turns one and a half of theirs: all together stay in one and a half, as with turns alone.
 	coldShared  = 0.5
--- a/internal/mutation/planted_test.go
+++ b/internal/mutation/planted_test.go
@@ -107,6 +107,9 @@
 	{"requests of clients that left arrive", "internal/backends/undelivered.go", "case now-c.unwantedAt >= longEnough:", "case now-c.unwantedAt >= 1e9*longEnough:", "./internal/backends"},
 	{"who comes early finds room", "waittime/estimator.go", "if k < 0 || b.reservations[k].due > now+earlyTolerance {", "if k < 0 {", "./waittime"},
 	{"cold servers get four times their budget from all routers", "admission/brain.go", "const coldMargin = 0.5", "const coldMargin = 2.0", "./emulator/cluster"},
+	{"cold servers get shares beside turns that are not fewer", "admission/brain.go", "coldShared  = 0.5", "coldShared  = 2.0", "./admission"},
+	{"a hung server with one attempt at a time is not suspected", "admission/brain.go", "b.set.Fleet != nil && e.State == Ready && e.silence > e.sign", "false", "./admission"},
+	{"a connection with unread input makes room", "internal/router/arrivals.go", "if !best.session.InTransit() {", "if true {", "./internal/router"},
 }
 
 // drawn tells whether a package's tests draw cases.
