--- a/internal/discovery/claims.go
+++ b/internal/discovery/claims.go
@@ -31,8 +31,6 @@
 	outvoteNew = grantAfter
 	// outvoteConfirmed is for a list that answers in a row have told, by others under its number: half a minute of nothing else.
 	outvoteConfirmed = 300
-	// staleAtMost is for older lists under a confirmed one to be taken for what the name server has, and not for strays: a second.
-	staleAtMost = 10
 )
 
 // What is odd about an answer.
@@ -50,7 +48,7 @@
 	awaited   int       // how many answers in a row have to agree before the list in hand is used whole
 	rival     *snapshot // the list of the last answer that contradicts the one in hand, nil: none since the last that agrees
 	votes     int       // answers in a row for the rival
-	stale     int       // answers in a row that were older than the list in hand, or empty: each may stand in for one with news
+	stale     bool      // the last answer was older than the list in hand, or empty: it may stand in for one with news
 	recent    history   // the lists of the last answers that counted
 	used      *snapshot // what may be used
 	drains    map[uint32]drain
@@ -114,11 +112,7 @@
 }
 
 // Unsettled tells whether the list in hand waits for other answers to agree, or the last one may hide news.
-func (c *claims) Unsettled() bool { return c.awaited > 0 || c.rival != nil || c.stale > 0 }
-
-// Outdated tells whether the name server is behind the list in hand, and not one answer alone: to ask at a higher rate than usual brings
-// nothing then, and a whole fleet would for as long as it lasts.
-func (c *claims) Outdated() bool { return c.awaited == 0 && c.rival == nil && c.stale > staleAtMost }
+func (c *claims) Unsettled() bool { return c.awaited > 0 || c.rival != nil || c.stale }
 
 // weigh takes in the list of an answer. Fresh: what may be used has changed.
 func (c *claims) weigh(list *snapshot) (fresh bool, err error) {
@@ -133,7 +127,7 @@
 
 // agree notes that an answer tells the list in hand.
 func (c *claims) agree() (fresh bool) {
-	c.rival, c.votes, c.stale = nil, 0, 0
+	c.rival, c.votes, c.stale = nil, 0, false
 	c.recent.push(c.held)
 	if c.awaited = max(c.awaited-1, 0); c.awaited > 0 {
 		return false
@@ -151,7 +145,7 @@
 func (c *claims) advance(list *snapshot) (fresh bool) {
 	c.note(list)
 	fresh = c.use(c.granted(c.recent.allow(c.used, list)))
-	c.held, c.confirmed, c.rival, c.votes, c.awaited, c.stale = list, false, nil, 0, grantAfter-1, 0
+	c.held, c.confirmed, c.rival, c.votes, c.awaited, c.stale = list, false, nil, 0, grantAfter-1, false
 	c.recent.push(list)
 	return fresh
 }
@@ -163,7 +157,7 @@
 		err = errOlder
 	}
 	if c.confirmed && (err == errOlder || len(list.entries) == 0) { // late by all that is known, or all gone with no event
-		c.stale++
+		c.stale = true
 		return false, err
 	}
 	repeats := c.rival != nil && list.agrees(c.rival)
--- a/internal/router/nameserver.go
+++ b/internal/router/nameserver.go
@@ -115,7 +115,7 @@
 	if errors.As(err, &discovery.Unread{}) {
 		return
 	}
-	s.waits = s.list.Unsettled() && !s.list.Outdated()
+	s.waits = s.list.Unsettled()
 	if s.heardAt = s.clock.now(); s.deaf {
 		s.deaf = false
 		s.log.Info("the name server answers again")
