Review, case 2: a refused first command costs those sent with it their answers

Cause: a connection that the router takes only to refuse its first command is closed as soon as that refusal is written. Commands that came in the same input are read and dropped without an answer.

The shared client closes its side when the router closes a connection.

--- a/review/_standins/rig/client.go
+++ b/review/_standins/rig/client.go
@@ -187,6 +187,7 @@
 			if open > 0 {
 				c.run.Logf("client %s: the connection ends (%v) with %d open requests", c.Conn.LocalAddr(), err, open)
 			}
+			c.Conn.Close()
 			close(c.closed)
 			return
 		}
--- a/review/_standins/rig/engine.go
+++ b/review/_standins/rig/engine.go
@@ -173,3 +173,23 @@
 	defer e.mu.Unlock()
 	return append([]*Fetch(nil), e.fetches...)
 }
+
+// Aborted is closed once the request is given up.
+func (f *Fetch) Aborted() <-chan struct{} { return f.aborted }
+
+// Reset resets the request's connection.
+func (f *Fetch) Reset() {
+	if tcp, ok := f.conn.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	f.conn.Close()
+}
+
+// Raw writes bytes on the request's connection.
+func (f *Fetch) Raw(text string) { io.WriteString(f.conn, text) }
+
+// Again writes the request's good answer once more.
+func (f *Fetch) Again() {
+	body := Result(f.ID)
+	fmt.Fprintf(f.conn, "%s served count=1 %d\r\n%s\r\n", f.ID, len(body), body)
+}
