--- a/review/_standins/halfmessages/main.go
+++ b/review/_standins/halfmessages/main.go
@@ -15,7 +15,7 @@
 	sockets        = 512 // the pages: 256 to 1,024
 	soundClients   = 12  // the pages: a third of the descriptors at most
 	badClients     = 180 // the pages: hundreds
-	longBadClients = 90  // of these send most of a message of 120 KB, the others most of one of 5 KB
+	longBadClients = 90  // of these send most of a message of 120 KB, the others part of one of 2 to 5 KB
 	waves          = 3
 	grace          = 0.5 // seconds by which an answer may be late and earns nothing
 )
@@ -34,7 +34,7 @@
 			r.Exit(rig.NotRun, "client: %v", err)
 		}
 	}
-	// A statement with a list of values, 9 KB, sent in one write.
+	// A statement with a list of values, 9 KB, sent in one write. Half of the clients send it, half send short commands at once.
 	long := "select a, b, c from sales_17.orders where id in (" + strings.Repeat("1234567, ", 1000) + "0) /* hold=50 */"
 	var calls []*rig.Call
 	for range waves {
@@ -52,12 +52,16 @@
 		}
 		rig.Sleep(0.5)
 		for range 4 {
-			for _, c := range sound {
-				if c.Closed() == "" {
+			for k, c := range sound {
+				switch {
+				case c.Closed() != "":
+				case k%2 == 0:
 					calls = append(calls, c.Call(long, 4, rig.Lookup("50")...))
+				default:
+					calls = append(calls, sendAtOnce(c)...)
 				}
 			}
-			rig.Sleep(0.2)
+			rig.Sleep(0.3)
 		}
 		ended.Wait()
 		rig.Sleep(1.5)
@@ -96,6 +100,18 @@
 	r.Exit(rig.Held, "%s", text)
 }
 
+// sendAtOnce sends some short commands in one write, 4.6 KB together.
+func sendAtOnce(c *rig.Client) (calls []*rig.Call) {
+	const commands = 20 // the pages: up to 32 open requests on a connection
+	var message []byte
+	for n := range commands {
+		call, m := c.Prepare(fmt.Sprintf("select a from sales_17.orders where id = %d /* hold=50 */", n), 4, rig.Lookup("50")...)
+		calls, message = append(calls, call), append(message, m...)
+	}
+	c.Write(message, calls...)
+	return calls
+}
+
 // cut reports whether a sound client's connection has ended: nothing can come on it any more.
 func cut(clients []*rig.Client) bool {
 	for _, c := range clients {
@@ -109,9 +125,11 @@
 // badClient sends a message that is shorter than its length says, and reads until the router closes the connection.
 func badClient(r *rig.Run, addr string, k int) {
 	size := 118000
-	if k >= longBadClients {
-		size = 3000
-		rig.Sleep(0.2)
+	if short := k - longBadClients; short >= 0 {
+		sizes := [...]int{3000, 400, 40}
+		step := short * len(sizes) / (badClients - longBadClients)
+		size = sizes[step]
+		rig.Sleep(0.2 + 0.05*float64(step))
 	}
 	c, err := r.Dial(addr)
 	if err != nil {
