--- a/review/_standins/rig/client.go
+++ b/review/_standins/rig/client.go
@@ -28,7 +28,6 @@
 	Statement string
 	SentAt    float64 // when its last byte was written
 	Allow     float64 // seconds
-	Cancelled bool
 
 	mu         sync.Mutex
 	outcome    string
@@ -120,16 +119,6 @@
 	return call
 }
 
-// Cancel takes a request back.
-func (c *Client) Cancel(call *Call) {
-	b := thrift.AppendField(thrift.BeginMessage(nil, thrift.Oneway, "cancel", 0), thrift.I32, 1)
-	c.Conn.Write(thrift.EndMessage(binary.BigEndian.AppendUint32(b, uint32(call.Seq))))
-	call.mu.Lock()
-	call.Cancelled = true
-	call.mu.Unlock()
-	c.run.Logf("client %s cancels %s", c.Conn.LocalAddr(), call.Ref)
-}
-
 // Health reports whether the router answers a health call with good.
 func (c *Client) Health(limit time.Duration) bool {
 	c.mu.Lock()
--- a/review/_standins/rig/engine.go
+++ b/review/_standins/rig/engine.go
@@ -35,7 +35,6 @@
 	Draining         bool
 	run              *Run
 	listener         net.Listener
-	Handle           func(f *Fetch) // answers a request, on a goroutine of its own; nil: Serve
 	mu               sync.Mutex
 	fetches          []*Fetch
 }
@@ -98,11 +97,7 @@
 			c.mu.Lock()
 			c.open[f.ID] = f
 			c.mu.Unlock()
-			if e.Handle != nil {
-				go e.Handle(f)
-			} else {
-				go f.Serve()
-			}
+			go f.serve()
 		case "abort":
 			c.mu.Lock()
 			if f := c.open[words[1]]; f != nil {
@@ -120,8 +115,8 @@
 	}
 }
 
-// Hold returns the time in seconds that the statement states, and 0.05 where it states none.
-func (f *Fetch) Hold() float64 {
+// hold returns the time in seconds that the statement states, and 0.05 where it states none.
+func (f *Fetch) hold() float64 {
 	_, rest, ok := strings.Cut(f.Statement, "hold=")
 	ms, err := strconv.Atoi(strings.TrimSpace(strings.SplitN(rest, " ", 2)[0]))
 	if !ok || err != nil {
@@ -130,21 +125,21 @@
 	return float64(ms) / 1000
 }
 
-// Result returns the rows that an engine makes for a request.
-func Result(id string) string { return "row\t" + id + "\tok\n" }
+// result returns the rows that an engine makes for a request.
+func result(id string) string { return "row\t" + id + "\tok\n" }
 
-// Serve answers the request with one row after its time.
-func (f *Fetch) Serve() {
+// serve answers the request with one row after its time.
+func (f *Fetch) serve() {
 	select {
-	case <-time.After(time.Duration(f.Hold() * 1e9)):
+	case <-time.After(time.Duration(f.hold() * 1e9)):
 	case <-f.aborted:
 		return
 	}
-	f.Answer("served", fmt.Sprintf("count=1,ticks=%d,footprint=10", int(f.Hold()*1000)), Result(f.ID))
+	f.answer("served", fmt.Sprintf("count=1,ticks=%d,footprint=10", int(f.hold()*1000)), result(f.ID))
 }
 
-// Answer ends the request with an answer.
-func (f *Fetch) Answer(word, fields, body string) {
+// answer ends the request with an answer.
+func (f *Fetch) answer(word, fields, body string) {
 	f.conn.mu.Lock()
 	defer f.conn.mu.Unlock()
 	if f.conn.open[f.ID] != f {
@@ -173,23 +168,3 @@
 	defer e.mu.Unlock()
 	return append([]*Fetch(nil), e.fetches...)
 }
-
-// Aborted is closed once the request is given up.
-func (f *Fetch) Aborted() <-chan struct{} { return f.aborted }
-
-// Reset resets the request's connection.
-func (f *Fetch) Reset() {
-	if tcp, ok := f.conn.Conn.(*net.TCPConn); ok {
-		tcp.SetLinger(0)
-	}
-	f.conn.Close()
-}
-
-// Raw writes bytes on the request's connection.
-func (f *Fetch) Raw(text string) { io.WriteString(f.conn, text) }
-
-// Again writes the request's good answer once more.
-func (f *Fetch) Again() {
-	body := Result(f.ID)
-	fmt.Fprintf(f.conn, "%s served count=1 %d\r\n%s\r\n", f.ID, len(body), body)
-}
--- a/review/_standins/rig/router.go
+++ b/review/_standins/rig/router.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -18,17 +16,13 @@
 
 // Router is one router process.
 type Router struct {
-	run     *Run
-	Name    string
-	Listen  string
-	Log     string // path of its log
-	Config  Object
-	path    string
-	extra   []string
-	process *exec.Cmd
-	done    chan struct{}
-	ended   atomic.Bool
-	PeakMB  atomic.Int64
+	run    *Run
+	Name   string
+	Listen string
+	Log    string // path of its log
+	config Object
+	path   string
+	ended  atomic.Bool
 }
 
 // FreePort returns a loopback address with a port that is free now.
@@ -51,28 +45,26 @@
 	return Object{"rev": 1, "notices": []Object{{"rev": 1, "pool": Object{"rev": 1, "all": true, "targets": targets}}}}
 }
 
-// NewRouter prepares a router. extra is added to its environment.
-func (r *Run) NewRouter(name string, memoryMB float64, sockets int, names *NameServer, settings Object, engines []*Engine, extra ...string) *Router {
-	rt := &Router{run: r, Name: name, Listen: FreePort(), Log: filepath.Join(r.Dir, name+".log"), path: filepath.Join(r.Dir, name+".json"), extra: extra}
-	rt.Config = Object{"name": name, "listen": rt.Listen, "seed": "8c1f30d27a5be964", "limits": Object{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+// NewRouter prepares a router.
+func (r *Run) NewRouter(name string, memoryMB float64, sockets int, names *NameServer, settings Object, engines []*Engine) *Router {
+	rt := &Router{run: r, Name: name, Listen: FreePort(), Log: filepath.Join(r.Dir, name+".log"), path: filepath.Join(r.Dir, name+".json")}
+	rt.config = Object{"name": name, "listen": rt.Listen, "seed": "8c1f30d27a5be964", "limits": Object{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"nameserver": names.Addr, "known": Known(engines...), "settings": settings}
 	return rt
 }
 
-// WriteConfig writes the configuration as it is now.
-func (rt *Router) WriteConfig() {
-	text, _ := json.MarshalIndent(rt.Config, "", " ")
-	temporary := rt.path + ".new"
-	if err := os.WriteFile(temporary, text, 0o644); err != nil {
+// writeConfig writes the configuration.
+func (rt *Router) writeConfig() {
+	text, _ := json.MarshalIndent(rt.config, "", " ")
+	if err := os.WriteFile(rt.path, text, 0o644); err != nil {
 		rt.run.Exit(NotRun, "%v", err)
 	}
-	os.Rename(temporary, rt.path)
 }
 
 // Start starts the router by the command of the deploy file and waits until it answers a health call with good.
 func (rt *Router) Start() {
 	r := rt.run
-	rt.WriteConfig()
+	rt.writeConfig()
 	log, err := os.OpenFile(rt.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		r.Exit(NotRun, "%v", err)
@@ -81,13 +73,10 @@
 	c := exec.Command("/bin/sh", "-c", r.command)
 	c.Dir, c.Stdout, c.Stderr = r.root, log, log
 	c.Env = append(os.Environ(), "BALANCER_NAME="+rt.Name, "BALANCER_LISTEN="+rt.Listen, "BALANCER_CONFIG="+rt.path, "TMPDIR="+r.Dir)
-	c.Env = append(c.Env, rt.extra...)
 	if err := c.Start(); err != nil {
 		r.Exit(NotRun, "router: %v", err)
 	}
-	rt.process, rt.done = c, make(chan struct{})
-	rt.ended.Store(false)
-	done := rt.done
+	done := make(chan struct{})
 	go func() {
 		err := c.Wait()
 		rt.ended.Store(true)
@@ -99,7 +88,6 @@
 		<-done
 	})
 	r.Logf("router %s started, process %d, listens on %s", rt.Name, c.Process.Pid, rt.Listen)
-	go rt.watchMemory(c.Process.Pid, done)
 	for end := time.Now().Add(30 * time.Second); ; {
 		if client, err := r.Dial(rt.Listen); err == nil {
 			good := client.Health(time.Second)
@@ -117,46 +105,9 @@
 	}
 }
 
-// watchMemory notes the most memory that the process has held.
-func (rt *Router) watchMemory(pid int, done chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-		if err != nil {
-			continue
-		}
-		for line := range strings.SplitSeq(string(text), "\n") {
-			var kb int64
-			if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 && kb/1024 > rt.PeakMB.Load() {
-				rt.PeakMB.Store(kb / 1024)
-			}
-		}
-	}
-}
-
-// Signal sends a signal to the program that run started.
-func (rt *Router) Signal(s syscall.Signal) {
-	rt.run.Logf("router %s gets %v", rt.Name, s)
-	rt.process.Process.Signal(s)
-}
-
 // Ended reports whether the process has ended.
 func (rt *Router) Ended() bool { return rt.ended.Load() }
 
-// AwaitEnd waits until the process has ended, and reports whether it did in time.
-func (rt *Router) AwaitEnd(seconds float64) bool {
-	select {
-	case <-rt.done:
-		return true
-	case <-time.After(time.Duration(seconds * 1e9)):
-		return false
-	}
-}
-
 // CopyLog copies the lines of the router's log that hold one of the texts to the record.
 func (rt *Router) CopyLog(most int, texts ...string) {
 	log, _ := os.ReadFile(rt.Log)
