--- a/review/_standins/halfmessages/main.go
+++ b/review/_standins/halfmessages/main.go
@@ -37,11 +37,17 @@
 	// A statement with a list of values, 9 KB, sent in one write. Half of the clients send it, half send short commands at once.
 	long := "select a, b, c from sales_17.orders where id in (" + strings.Repeat("1234567, ", 1000) + "0) /* hold=50 */"
 	var calls []*rig.Call
+	var clients []*rig.Client // of each call
+	note := func(c *rig.Client, all ...*rig.Call) {
+		for _, call := range all {
+			calls, clients = append(calls, call), append(clients, c)
+		}
+	}
 	for range waves {
 		var ended sync.WaitGroup
 		for _, c := range sound {
 			if c.Closed() == "" {
-				calls = append(calls, c.Call("select a, b, c from sales_17.orders /* hold=2500 */", 15, rig.Report("5000")...))
+				note(c, c.Call("select a, b, c from sales_17.orders /* hold=2500 */", 15, rig.Report("5000")...))
 			}
 		}
 		rig.Sleep(0.3)
@@ -56,9 +62,9 @@
 				switch {
 				case c.Closed() != "":
 				case k%2 == 0:
-					calls = append(calls, c.Call(long, 4, rig.Lookup("50")...))
+					note(c, c.Call(long, 4, rig.Lookup("50")...))
 				default:
-					calls = append(calls, sendAtOnce(c)...)
+					note(c, sendAtOnce(c)...)
 				}
 			}
 			rig.Sleep(0.3)
@@ -66,10 +72,8 @@
 		ended.Wait()
 		rig.Sleep(1.5)
 	}
-	rig.Sleep(4 + grace) // all calls are answered or over time by now; the running reports, of 15 s, see below
-	for _, call := range calls {
-		if call.Allow == 15 && !cut(sound) {
-			call.Await(15 + grace)
+	for k, call := range calls { // until it has its answer, none can come any more, or it is over time
+		for call.Await(0.05) == rig.Pending && clients[k].Closed() == "" && r.Now() < call.SentAt+call.Allow+grace {
 		}
 	}
 
@@ -112,16 +116,6 @@
 	return calls
 }
 
-// cut reports whether a sound client's connection has ended: nothing can come on it any more.
-func cut(clients []*rig.Client) bool {
-	for _, c := range clients {
-		if c.Closed() != "" {
-			return true
-		}
-	}
-	return false
-}
-
 // badClient sends a message that is shorter than its length says, and reads until the router closes the connection.
 func badClient(r *rig.Run, addr string, k int) {
 	size := 118000
--- a/review/_standins/pipelined/main.go
+++ b/review/_standins/pipelined/main.go
@@ -24,21 +24,21 @@
 	names := r.NewNameServer(engines...)
 	router := r.NewRouter("n1", memoryMB, sockets, names, rig.PlanningSettings(), engines)
 	router.Start()
-	busy := func(n int, who string) {
+	busy := func(n int, who, end string) {
 		for range n {
 			c, err := r.Dial(router.Listen)
 			if err != nil {
 				r.Exit(rig.NotRun, "%s client: %v", who, err)
 			}
-			c.Call("select a, b, c from sales_17.orders /* hold=3000 */ -- "+who, 15, rig.Report("6000")...)
+			c.Call("select a, b, c from sales_17.orders /* hold=3000 */ "+end, 15, rig.Report("6000")...)
 		}
 	}
-	busy(soundClients, "sound")
+	busy(soundClients, "sound", "")
 	if r.Trouble {
-		busy(badClients, "bad")
+		busy(badClients, "bad", rig.Unusable)
 	}
 	rig.Sleep(0.5)
-	lost, refused, served, resent := 0, 0, 0, 0
+	lost, refused, served, resent, unread := 0, 0, 0, 0, 0
 	for n := range probes {
 		statements := make([]string, atOnce)
 		for k := range statements {
@@ -57,9 +57,13 @@
 			}
 			c.Write(message, calls...)
 			statements = nil
+			answered := false
 			for _, call := range calls {
 				for call.Await(0.05) == rig.Pending && c.Closed() == "" && r.Now() < call.SentAt+call.Allow+grace {
 				}
+				answered = answered || call.Await(0) != rig.Pending
+			}
+			for _, call := range calls {
 				switch outcome, _, _, _ := call.Outcome(); {
 				case outcome == rig.Rejected:
 					refused++
@@ -68,6 +72,8 @@
 				case outcome == rig.Pending && try == 0:
 					statements = append(statements, call.Statement) // it crossed the close: it is sent once more, on a new connection
 					resent++
+				case outcome == rig.Pending && !answered: // the connection may have been shut unread, which the page allows
+					unread++
 				case outcome == rig.Pending:
 					lost++
 				}
@@ -78,7 +84,7 @@
 	}
 	router.CopyLog(5, "too many clients", "panic")
 	router.CopyLog(3, "clients' connections")
-	text := fmt.Sprintf("%d commands on %d connections: %d served, %d refused, %d sent again, %d of these without an answer", probes*atOnce, probes, served, refused, resent, lost)
+	text := fmt.Sprintf("%d commands on %d connections: %d served, %d refused, %d sent again; of these without an answer: %d behind one that was answered, %d on connections with no answer at all (not counted)", probes*atOnce, probes, served, refused, resent, lost, unread)
 	if lost > 0 || router.Ended() {
 		r.Exit(rig.Broken, "%s", text)
 	}
--- a/review/_standins/rig/engine.go
+++ b/review/_standins/rig/engine.go
@@ -128,14 +128,43 @@
 // result returns the rows that an engine makes for a request.
 func result(id string) string { return "row\t" + id + "\tok\n" }
 
-// serve answers the request with one row after its time.
+// Unusable marks a statement that fails at an engine: its answer is an error.
+const Unusable = "/* fails */"
+
+// noteInterval is the time between notes of progress, as in the settings.
+const noteInterval = 2 * time.Second
+
+// serve answers the request after its time: with one row, or with an error where the statement can't be used. Until then it
+// sends notes of progress.
 func (f *Fetch) serve() {
-	select {
-	case <-time.After(time.Duration(f.hold() * 1e9)):
-	case <-f.aborted:
-		return
+	began, end := time.Now(), time.NewTimer(time.Duration(f.hold()*1e9))
+	defer end.Stop()
+	notes := time.NewTicker(noteInterval)
+	defer notes.Stop()
+	for {
+		select {
+		case <-notes.C:
+			f.note(time.Since(began).Seconds() / f.hold())
+		case <-f.aborted:
+			return
+		case <-end.C:
+			if strings.Contains(f.Statement, Unusable) {
+				f.answer("crashed", "-", "")
+			} else {
+				f.answer("served", fmt.Sprintf("count=1,ticks=%d,footprint=10", int(f.hold()*1000)), result(f.ID))
+			}
+			return
+		}
+	}
+}
+
+// note tells the share of the work that is done.
+func (f *Fetch) note(share float64) {
+	f.conn.mu.Lock()
+	defer f.conn.mu.Unlock()
+	if f.conn.open[f.ID] == f {
+		fmt.Fprintf(f.conn, "%s update res=p,reading=%.3f 0\r\n\r\n", f.ID, share)
 	}
-	f.answer("served", fmt.Sprintf("count=1,ticks=%d,footprint=10", int(f.hold()*1000)), result(f.ID))
 }
 
 // answer ends the request with an answer.
--- a/review/_standins/rig/record.go
+++ b/review/_standins/rig/record.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,6 +35,7 @@
 
 // New begins a run. The folder of the case is the first argument of the program; root and command come from run.sh.
 func New() *Run {
+	runtime.LockOSThread() // the thread that starts routers lives as long as the program
 	folder := os.Args[1]
 	r := &Run{Trouble: os.Getenv("TROUBLE") != "0", root: os.Getenv("ROOT"), command: os.Getenv("RUN_COMMAND"), start: time.Now()}
 	var err error
--- a/review/_standins/rig/router.go
+++ b/review/_standins/rig/router.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -61,7 +62,8 @@
 	}
 }
 
-// Start starts the router by the command of the deploy file and waits until it answers a health call with good.
+// Start starts the router by the command of the deploy file and waits until it answers a health call with good. Only the program's first
+// goroutine calls it, since a process ends with the thread that started it.
 func (rt *Router) Start() {
 	r := rt.run
 	rt.writeConfig()
@@ -72,6 +74,7 @@
 	defer log.Close()
 	c := exec.Command("/bin/sh", "-c", r.command)
 	c.Dir, c.Stdout, c.Stderr = r.root, log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this program, however that ends
 	c.Env = append(os.Environ(), "BALANCER_NAME="+rt.Name, "BALANCER_LISTEN="+rt.Listen, "BALANCER_CONFIG="+rt.path, "TMPDIR="+r.Dir)
 	if err := c.Start(); err != nil {
 		r.Exit(NotRun, "router: %v", err)
