Review: a run that is ended in the middle takes its temporary folder away

Cause: where nobody read the verdict any more, its line ended the program before the folder was removed; two trials that were ended had left theirs. Change: the folder goes first; a second end of a run waits for the first. SIGTERM in the middle leaves no process and no folder, SIGKILL no process.

--- a/review/_standins/rig/record.go
+++ b/review/_standins/rig/record.go
@@ -29,6 +29,7 @@
 	command string
 	start   time.Time
 	mu      sync.Mutex
+	exit    sync.Mutex
 	file    *os.File
 	ends    []func()
 }
@@ -78,6 +79,7 @@
 
 // Exit ends all that the run has started, and the program.
 func (r *Run) Exit(code int, format string, args ...any) {
+	r.exit.Lock() // held until the program ends: a second call waits
 	verdict := [...]string{"HELD", "BROKEN", "NOT RUN"}[code]
 	r.mu.Lock()
 	ends := r.ends
@@ -88,9 +90,8 @@
 	}
 	text := strings.TrimSpace(fmt.Sprintf(format, args...))
 	r.Logf("%s: %s", verdict, text)
+	os.RemoveAll(r.Dir) // before the line below, which ends the program where nobody reads it any more
 	fmt.Printf("%s: %s\n", verdict, text)
-	r.file.Close()
-	os.RemoveAll(r.Dir)
 	os.Exit(code)
 }
 
