Review cases 7 and 8: state kept beside fences, and coordinators whose log's reader ends

A coordinator does not ignore SIGPIPE, so it ends with the next line of its log once the log's reader has gone.

Change: two cases as scripts (review/7, review/8) and their stand-ins. Nothing is fixed.

--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -3,4 +3,5 @@
 func init() {
 	cases["burst"] = burst
 	cases["memory"] = memory
+	cases["pipe"] = pipe
 }
--- a/review/_lab/memory.go
+++ b/review/_lab/memory.go
@@ -76,13 +76,7 @@
 	addr := FreeAddr("127.0.0.1")
 	folder := filepath.Join(w.dir, "var-lib-dunereach")
 	config := filepath.Join(w.dir, "config.json")
-	os.WriteFile(config, []byte(fmt.Sprintf(`{"name":"n1","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"rev":1,"all":true,"targets":[%s]}}]},
-"settings":{"Balancers":1,"Me":0,"MyZone":0,"Tick":5,"Discovery":"push","OverShareWorth":0.1,"Dcs":["hall"],"Kinds":["small"],
-"Classes":[{"Name":"quick","Aim":500,"AimStretch":2,"Deadline":3000,"Effect":"safe","Worth":1}],
-"FamilyInfo":{"CpuOfKind":[4],"Dop":[1],"RanksHeeded":true},"Realms":[{"Name":"house","QuotaPerS":100}],
-"Limits":{"ConnIdle":30000,"ConnectTimeout":250,"MaxStreams":100,"MaxRetryAfter":500,"OpenCap":10000,"RetryAfter":true,"SendCap":4},
-"Obligations":{"ColdFrom":0.35,"DrainGrace":250,"Fall":1000,"FallMultiple":2,"WarmUp":15000}}}`, addr, names.Addr, strings.Join(targets, ","))), 0o600)
+	os.WriteFile(config, []byte(smallConfig(addr, names.Addr, strings.Join(targets, ","))), 0o600)
 	operator := filepath.Join(w.dir, "operator.json")
 	os.WriteFile(operator, []byte(fmt.Sprintf(`{"fleet":{"keepers":["%s"],"folder":%q},"state":{"folder":%q}}`, strings.Join(keepers, `","`), folder, folder)), 0o600)
 	router, err := w.Start("n1", "exec bin/dunereach", "BALANCER_NAME=n1", "BALANCER_LISTEN="+addr, "BALANCER_CONFIG="+config, "DUNEREACH_OPERATOR="+operator)
