Review case 9: an evacuation that is agreed on moves to another zone with new settings

Cause: the order is kept by the zone's number. Settings that name a zone more before it make it another zone's order.

Change: a case as a script (review/9) and its stand-in. Nothing is fixed.

--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -4,4 +4,5 @@
 	cases["burst"] = burst
 	cases["memory"] = memory
 	cases["pipe"] = pipe
+	cases["zones"] = zones
 }
