Results are fetched once there is memory for them; clients that read keep their connections

Callers saw: four usual clients with 32 requests each at once (32 MB, 1,024 descriptors) lost one or two of their connections when the results came back together, with up to 31 requests that servers had run.

Cause: the pages of each result were requested at once and each whole result was queued at once. What was in hand was counted nowhere, and the queued output met its limit (1.97 MB, 41 results) only after the fact: the connection with the most was ended though its client read. Statements on their way to servers filled the same limit.

Change: a server keeps the pages of a result until they are requested, so they are requested once there is memory for the whole result; a connection holds no more of that memory than it leaves to others. Connections to servers are not read while more than it is queued (results of one page come unrequested). While results wait, the connection ends that holds the most of those that have not taken a write for 0.2 s. The limit on output has room for results and statements within their own budgets. A connection ended for not reading is logged.

--- a/internal/backends/answers.go
+++ b/internal/backends/answers.go
@@ -77,11 +77,7 @@
 	case j.ResultUnwanted:
 		c.finishResult(j)
 	default:
-		b := c.pool.scratch[:0]
-		for n := 1; n < count; n++ {
-			b = lineproto.AppendMore(b, j.Ref[:], n)
-		}
-		c.writeControl(b)
+		c.pool.fetchResult(j)
 	}
 	return true
 }
@@ -98,7 +94,7 @@
 	if k := len(p.sparePages); k > 0 {
 		buf, p.sparePages = p.sparePages[k-1], p.sparePages[:k-1]
 	} else {
-		buf = make([]byte, 0, 6000)
+		buf = make([]byte, 0, maxPageBytes)
 	}
 	j.Pages[n] = append(buf[:0], body...)
 	j.pagesReceived, j.lastPageAt = j.pagesReceived+1, p.now
@@ -115,11 +111,14 @@
 	j.Pages = j.Pages[:0]
 }
 
+// maxPageBytes is the longest page of a result, in bytes.
+const maxPageBytes = 6000
+
 // validRows reports whether a page follows the protocol: complete rows of valid text with three columns, at most
 // 6,000 bytes.
 func validRows(body []byte) bool {
-	const maxBytes, columns = 6000, 3
-	if len(body) > maxBytes || !utf8.Valid(body) {
+	const columns = 3
+	if len(body) > maxPageBytes || !utf8.Valid(body) {
 		return false
 	}
 	for len(body) > 0 {
--- a/internal/backends/idle_test.go
+++ b/internal/backends/idle_test.go
@@ -14,6 +14,8 @@
 func (e *endRecorder) AttemptEnded(_ *Attempt, end admission.End)                  { e.ends = append(e.ends, end) }
 func (e *endRecorder) AttemptProgressed(*Attempt, admission.ProgressKind, float64) {}
 func (e *endRecorder) ConnLost(uint32, transport.Ending)                           {}
+func (e *endRecorder) ResultFits(*Attempt, int) bool                               { return true }
+func (e *endRecorder) ResultReserved(*Attempt, int)                                {}
 
 // idleConn accepts all calls and records Finish.
 type idleConn struct{ finished bool }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -46,6 +46,8 @@
 	offset              int64 // position of its bytes in the connection's output
 	size                int   // number of its bytes
 	pagesReceived       int
+	reservedBytes       int     // memory reserved for its result, once its pages have been requested
+	awaitsMemory        bool    // its first page has come, and there is no memory for the others yet
 	lastPageAt          float64 // when the newest page came
 }
 
@@ -57,6 +59,10 @@
 	AttemptEnded(j *Attempt, end admission.End)
 	AttemptProgressed(j *Attempt, kind admission.ProgressKind, value float64)
 	ConnLost(server uint32, how transport.Ending)
+	// ResultFits reports whether there is memory for an attempt's result, of the given bytes.
+	ResultFits(j *Attempt, bytes int) bool
+	// ResultReserved records bytes as reserved for an attempt's result, or as released if negative.
+	ResultReserved(j *Attempt, bytes int)
 }
 
 // Connection takes the bytes sent to a server.
@@ -91,6 +97,7 @@
 	endedAttempts []*Attempt // attempts that ended within a call from the owner
 	sparePages    [][]byte
 	scratch       []byte
+	resultMemory  resultMemory
 	now           float64
 	writesHeld    bool // no attempt is written
 
@@ -201,7 +208,7 @@
 // server has the whole result when it sends the first page.
 func (c *conn) stalledSince(since float64) bool {
 	for _, j := range c.outstanding {
-		if j.pagesReceived > 0 && j.lastPageAt < since {
+		if j.pagesReceived > 0 && !j.awaitsMemory && j.lastPageAt < since {
 			return true
 		}
 	}
@@ -364,6 +371,7 @@
 func (j *Attempt) unlink() {
 	if c := j.conn; c != nil {
 		j.conn = nil
+		c.pool.releaseResult(j)
 		delete(c.outstanding, j.Ref)
 		for k, w := range c.waiting {
 			if w == j {
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -17,6 +17,8 @@
 	pool      *Pool
 	attempts  map[uint32]*Attempt
 	fakeConns []*fakeConn
+
+	resultMemory int // bytes for results; 0: no limit
 }
 
 // fakeConn is a fake connection. While it is stalled no appended bytes leave.
@@ -86,6 +88,12 @@
 func (y *harness) AttemptProgressed(j *Attempt, kind admission.ProgressKind, value float64) {
 	y.say("%d/%d note %d %g", j.ID, j.AttemptNumber, kind, value)
 }
+
+// ResultFits reports whether a result fits into what is left of the script's memory.
+func (y *harness) ResultFits(j *Attempt, bytes int) bool {
+	return y.resultMemory == 0 || y.pool.ReservedBytes()+bytes <= y.resultMemory
+}
+func (y *harness) ResultReserved(*Attempt, int)             {}
 func (y *harness) ConnLost(id uint32, how transport.Ending) { y.say("engine %d lost: %v", id, how) }
 
 func play(byteByByte bool) func(*testing.T, script.Printf) func([]string) {
@@ -148,6 +156,9 @@
 		y.pool.SetPriority(j)
 	case "unstick":
 		y.pool.DropStalled()
+	case "memory": // bytes for results
+		y.resultMemory = int(parseID(t, w[2]))
+		y.pool.FetchWaiting()
 	case "tidy":
 		y.pool.CloseIdle()
 	case "up":
--- a/internal/frontend/closereason.go
+++ b/internal/frontend/closereason.go
@@ -13,10 +13,11 @@
 	Unreadable                           // a message can't be read
 	RouterStopping                       // the router has been asked to stop
 	ClientClosed                         // the client has closed its side, and all requests are answered
+	NotReading                           // it does not read what it is sent, and the memory is needed
 
 	CloseReasonCount = iota // number of reasons
 )
 
 func (r CloseReason) String() string {
-	return [...]string{"kept", "nothing whole came", "idle", "room needed", "no room", "unreadable", "router ends", "client closed"}[r]
+	return [...]string{"kept", "nothing whole came", "idle", "room needed", "no room", "unreadable", "router ends", "client closed", "does not read"}[r]
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -35,6 +35,8 @@
 	Failed(seq int32)
 	AddStatementBytes(bytes int)
 	StatementBytes() int // size of the statements of its connection's requests
+	AddResultBytes(bytes int)
+	ResultBytes() int // memory for results to its connection: reserved, and queued for writing
 }
 
 // WaitInfo is sent with an answer or a rejection if the operator's file enables it. All values are in seconds.
@@ -60,6 +62,7 @@
 // Conn is the connection that a session writes to.
 type Conn interface {
 	Append(b []byte) int64
+	Queued() int // bytes that are queued or being written
 	Finish()
 	InputPending() bool      // bytes have arrived that were not fed yet
 	InputAge() time.Duration // age of the newest bytes
@@ -76,6 +79,7 @@
 	scratch         *[]byte
 	open            map[int32]uint32 // ids of the open requests by sequence number
 	statementBytes  int              // size of the statements of its requests, as the handler counts them
+	resultBytes     int              // memory reserved for results of its requests
 	partialBytes    int              // bytes of an incomplete frame; memory.resize sets it
 	discarded       bool             // the incomplete frame was discarded
 	partialTicks    int              // ticks for which the frame has been incomplete; for the first frame, including those before the session
@@ -167,6 +171,10 @@
 		s.closeIfIdle()
 		return
 	}
+	if how == transport.PeerNotReading {
+		s.noteReason(NotReading)
+		s.handler.ClientClosing(s, NotReading)
+	}
 	s.closing, s.ended = true, true
 	s.abandonRequests()
 	s.handler.SessionClosed(s)
@@ -203,6 +211,12 @@
 // StatementBytes returns the size of the statements that the connection's requests hold.
 func (s *Session) StatementBytes() int { return s.statementBytes }
 
+// AddResultBytes counts memory as reserved for results of the connection's requests, or as released if bytes is negative.
+func (s *Session) AddResultBytes(bytes int) { s.resultBytes += bytes }
+
+// ResultBytes returns the memory that results take on their way to the client: reserved for those that are being fetched, and queued.
+func (s *Session) ResultBytes() int { return s.resultBytes + s.Conn.Queued() }
+
 // Register records the id of an open request.
 func (s *Session) Register(seq int32, id uint32) { s.open[seq] = id }
 
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -42,6 +42,7 @@
 func (h *testHandler) SessionClosed(*Session)                       { h.say("closed") }
 func (h *testHandler) ClientClosing(_ *Session, reason CloseReason) { h.say("closing: %v", reason) }
 func (h *testHandler) Finish()                                      { h.say("finishes") }
+func (h *testHandler) Queued() int                                  { return 0 }
 func (h *testHandler) InputPending() bool                           { return h.inputPending }
 func (h *testHandler) InputAge() time.Duration                      { return 0 }
 func (h *testHandler) InputDelayed() bool                           { return false }
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -5,7 +5,8 @@
 
 // memoryBudgets divides the memory that clients can fill, in bytes.
 type memoryBudgets struct {
-	output     int64 // queued in all connections; results that clients are slow to read, and statements for servers
+	output     int64 // queued in all connections: results, and statements for servers
+	results    int64 // of the output: results, from the request for their pages until they are written
 	statements int64 // of requests in progress; incomplete messages get half as much beside it
 }
 
@@ -16,10 +17,11 @@
 	connectionMemory = 12 << 10
 )
 
-// divideMemory divides a router's memory, for the given number of clients' connections. Together the budgets take five eighths of what is
-// left, as a slice that grows takes up to half as much again, and what has been freed is collected later.
+// divideMemory divides a router's memory, for the given number of clients' connections. Together the budgets take seven twelfths of what is
+// left, as a slice that grows takes up to half as much again, and what has been freed is collected later. Output has room for all results
+// and for a copy of all statements: none that is within its own budget can make it exceed its limit.
 func divideMemory(bytes int64, connections int) memoryBudgets {
 	heap := int64(float64(bytes) * HeapShare)
 	free := max(heap-ownHeap-int64(connections)*connectionMemory, heap/4)
-	return memoryBudgets{output: free / 4, statements: free / 4}
+	return memoryBudgets{output: free / 3, results: free / 6, statements: free / 6}
 }
--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -12,6 +12,9 @@
 			b := divideMemory(mb<<20, connections)
 			budgets := b.output + b.statements + b.statements/2
 			most := ownHeap + int64(connections)*connectionMemory + budgets*3/2
+			if b.output < b.results+b.statements {
+				t.Errorf("%d MB, %d descriptors: results and statements within their budgets exceed that of output: %+v", mb, descriptors, b)
+			}
 			if heap := int64(float64(mb<<20) * HeapShare); most > heap || b.output <= 0 || b.statements <= 0 {
 				t.Errorf("%d MB, %d descriptors: %d bytes of %d, budgets %+v", mb, descriptors, most, heap, b)
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,7 +52,8 @@
 	unanswered      int // requests whose client waits
 	statementBytes  int // total size of their statements
 	statementBudget int
-	messageMemory   *frontend.MessageMemory   // for incomplete messages
+	messageMemory   *frontend.MessageMemory // for incomplete messages
+	results         resultLimits
 	activeRefs      map[backends.Ref]struct{} // ids of the requests that clients wait for
 	ending          bool                      // asked to stop: health checks fail, so that clients use other routers
 	listReceived    bool
@@ -170,10 +171,11 @@
 		}
 		r.pool.ReportEnds()
 	}
-	if len(r.timers) == 0 {
-		return r.releaseHeld(r.now + 1)
+	next = r.now + 1
+	if len(r.timers) > 0 {
+		next = r.timers[0].at
 	}
-	return r.releaseHeld(r.timers[0].at)
+	return r.fetchWaitingResults(r.releaseHeld(next))
 }
 
 // Unanswered is the number of requests that have no final answer yet.
@@ -303,6 +305,7 @@
 // done records that a request's client needs no answer any more.
 func (r *Router) done(req *request) {
 	r.holdStatement(req.client, -len(req.attempt.Statement))
+	req.client.AddResultBytes(-req.attempt.ReservedBytes())
 	req.attempt.ResultUnwanted, req.client = true, nil
 	delete(r.activeRefs, req.attempt.Ref)
 	r.unanswered--
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -19,7 +19,10 @@
 )
 
 // fakeConn is a fake connection for both sides that keeps the last bytes written.
-type fakeConn struct{ last []byte }
+type fakeConn struct {
+	last   []byte
+	queued int // bytes that the peer has not taken
+}
 
 func (w *fakeConn) Append(b []byte) int64        { w.last = append(w.last[:0], b...); return 0 }
 func (w *fakeConn) WriteBegun(int64) bool        { return true }
@@ -31,6 +34,7 @@
 	return false
 }
 func (w *fakeConn) Finish()                 {}
+func (w *fakeConn) Queued() int             { return w.queued }
 func (w *fakeConn) InputPending() bool      { return false }
 func (w *fakeConn) InputAge() time.Duration { return 0 }
 func (w *fakeConn) OutputPending() bool     { return false }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -106,7 +106,9 @@
 	limits := s.descriptorLimits()
 	budgets := divideMemory(memory, limits.clients+limits.rejecting)
 	s.net = transport.NewNetwork(ctx, group, s.inbox, budgets.output, limits.lingering)
+	s.net.PauseDialedAbove(budgets.results)
 	s.Router = New(cfg.Settings, int(budgets.statements), log, s.list.Name)
+	s.LimitResults(budgets.results, s.net)
 	if len(cfg.Budgets.Nodes) > 0 {
 		teams, err := fairshare.New(cfg.Budgets, s.clock.now())
 		if err != nil {
--- a/internal/scale/datapath_module.go
+++ b/internal/scale/datapath_module.go
@@ -100,6 +100,8 @@
 func (discardingOwner) AttemptEnded(*backends.Attempt, admission.End)                        {}
 func (discardingOwner) AttemptProgressed(*backends.Attempt, admission.ProgressKind, float64) {}
 func (discardingOwner) ConnLost(uint32, transport.Ending)                                    {}
+func (discardingOwner) ResultFits(*backends.Attempt, int) bool                               { return true }
+func (discardingOwner) ResultReserved(*backends.Attempt, int)                                {}
 func noConnection(netip.AddrPort, transport.Sink) backends.Connection                        { return nil }
 
 // listApplier runs what the router's owner goroutine runs when a list arrives: the follower, the connection pool and the controller.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -90,9 +90,16 @@
 // queued in all of them together; maxLingering is the limit of connections in a lingering close.
 func NewNetwork(ctx context.Context, group *errgroup.Group, inbox Inbox, maxQueued int64, maxLingering int) *Network {
 	return &Network{ctx: ctx, group: group, inbox: inbox,
-		limits: sharedLimits{maxQueued: maxQueued, maxLingering: maxLingering, conns: map[*Conn]struct{}{}}}
+		limits: sharedLimits{start: time.Now(), maxQueued: maxQueued, maxLingering: maxLingering, conns: map[*Conn]struct{}{}}}
 }
 
+// PauseDialedAbove makes the readers of dialed connections wait while more than the given number of output bytes are queued in all
+// connections, so that what servers send does not come faster than clients take it. It must be called before any connection is made.
+func (n *Network) PauseDialedAbove(queued int64) { n.limits.pauseDialedAbove = queued }
+
+// Queued returns the number of output bytes that are queued or being written in all connections.
+func (n *Network) Queued() int64 { return n.limits.queued.Load() }
+
 // Lingering returns the number of connections in a lingering close.
 func (n *Network) Lingering() int { return int(n.limits.lingering.Load()) }
 
@@ -117,7 +124,9 @@
 	endsWithPeer bool          // the other side reads nothing once it has closed its side
 	outputClosed atomic.Bool   // this side has closed its output: further input is discarded
 
-	queued atomic.Int64 // bytes of output that are queued or being written
+	queued       atomic.Int64 // bytes of output that are queued or being written
+	writeBegunAt atomic.Int64 // when the write in progress began, in nanoseconds since the network's start; 0: none is in progress
+	dialed       bool         // opened by Dial
 
 	inputDelivered uint64 // input bytes delivered to the owner; used by the owner's goroutine only
 
@@ -171,6 +180,7 @@
 
 // Dial opens a connection and runs it.
 func (c *Conn) Dial(addr string, timeout time.Duration) {
+	c.dialed = true
 	c.net.limits.add(c)
 	c.net.group.Go(func() error {
 		d := net.Dialer{Timeout: timeout}
@@ -226,6 +236,9 @@
 	const maxDiscarded = 64 << 10 // bytes read in a lingering close: many usual requests; a flood is cut off
 	buf, consumed, left := make([]byte, size), make(chan struct{}, 1), maxDiscarded
 	for {
+		if c.dialed {
+			c.net.limits.waitForOutput(c)
+		}
 		n, err := nc.Read(buf)
 		if n > 0 && c.outputClosed.Load() {
 			if left -= n; left < 0 {
@@ -285,7 +298,9 @@
 				break
 			}
 			nc.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+			c.writeBegunAt.Store(c.net.limits.sinceStart())
 			accepted, err := nc.Write(out)
+			c.writeBegunAt.Store(0)
 			c.addQueued(-len(out))
 			c.addAccepted(accepted)
 			if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
@@ -352,6 +367,9 @@
 	return from
 }
 
+// Queued returns the number of output bytes that are queued or being written.
+func (c *Conn) Queued() int { return int(c.queued.Load()) }
+
 func (c *Conn) wake() {
 	select {
 	case c.wakeWriter <- struct{}{}:
--- a/internal/transport/sharedlimits_test.go
+++ b/internal/transport/sharedlimits_test.go
@@ -130,3 +130,58 @@
 		t.Errorf("%q, want the end of the first", end)
 	}
 }
+
+// TestSlowReaderEnds guards against the end of connections that are read, or of none, while results wait for the memory that a peer which
+// does not read takes.
+func TestSlowReaderEnds(t *testing.T) {
+	n, ends := newTestNet(t, 1<<30), make(chan string, 4)
+	release := blockedHolder(t, n, namedSink{"holder", ends}, 80<<10)
+	reader, there := startAccepted(t, n, namedSink{"reader", ends}, unwrapped)
+	reader.Append(make([]byte, 90<<10)) // the most, but read
+	if _, err := io.ReadFull(there, make([]byte, 90<<10)); err != nil {
+		t.Fatal(err)
+	}
+	n.EndSlowReader() // the write has just begun
+	select {
+	case end := <-ends:
+		t.Fatalf("%q, though no write has lasted", end)
+	case <-time.After(2 * slowWrite):
+	}
+	n.EndSlowReader()
+	release() // the fake's write does not end with its connection
+	if end := nextEnd(t, ends); end != "holder does not read" {
+		t.Errorf("%q, want the end of the holder", end)
+	}
+	n.EndSlowReader()
+	waitForNothingQueued(t, n)
+	reader.Append([]byte("x"))
+	if _, err := io.ReadFull(there, make([]byte, 1)); err != nil {
+		t.Errorf("the connection that is read has ended: %v", err)
+	}
+}
+
+// TestDialedPauses guards against input from servers that comes faster than clients take it: while much output is queued, dialed
+// connections are not read.
+func TestDialedPauses(t *testing.T) {
+	n := newTestNet(t, 1<<30)
+	n.PauseDialedAbove(10 << 10)
+	release := blockedHolder(t, n, namedSink{"holder", make(chan string, 1)}, 80<<10)
+	waited := make(chan struct{})
+	go func() {
+		n.limits.waitForOutput(n.New(nil, 1))
+		close(waited)
+	}()
+	select {
+	case <-waited:
+		t.Error("the reader did not wait")
+	case <-time.After(20 * time.Millisecond):
+	}
+	release()
+	<-waited
+	waitForNothingQueued(t, n)
+	from := time.Now()
+	n.limits.waitForOutput(n.New(nil, 1))
+	if took := time.Since(from); took > 50*time.Millisecond {
+		t.Errorf("with nothing queued the reader waited %v", took)
+	}
+}
