Connections whose input never ends are paced, so that others are read and answered in time

Callers saw: on a part of a core, beside clients that sent at full speed (their requests withdrawn at once, health checks, requests that can't be used, ever new connections), usual clients' answers came up to 0.2 s after their due time.

Cause: the owner and the reader of a connection that always has input wake each other; such wake-ups go ahead of the scheduler's queue and inherit the time slice, so that one pair has the process for 10 ms of its time, and then the next. As there is always a goroutine to run, the runtime asks the system for other connections' input every 10 ms at best.

Evidence: a scheduler trace of 0.7 s (health checks, eight clients, half a core): usual connections' goroutines were runnable for 30 ms in the median, 118 ms at most. Lines for each late request: unread for 16 to 84 ms, 29 to 99 ms between the answer and its arrival, the decision itself 6 to 10 ms before the due time. Inbox, collector and controller are ruled out by the same trace.

Change: a reader that finds input at once more than four times in a row pauses in proportion to what its input cost; together such readers take six tenths of the time, and less while their pauses end late. Accepting is paced alike.

--- a/cmd/dunereach/main_test.go
+++ b/cmd/dunereach/main_test.go
@@ -25,6 +25,7 @@
 var program string
 
 func TestMain(m *testing.M) {
+	floodFromEnvironment()
 	script.BuildAndRun(m, func(dir string) { program = filepath.Join(dir, "dunereach") }, "../dunecheck", ".")
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -146,19 +146,27 @@
 	return group.Wait()
 }
 
+// connectionCost is how much time a connection takes that sends a few requests and ends, as a multiple of the time until the owner has taken it.
+const connectionCost = 4
+
 // accept passes client connections to the owner until the listener's deadline, and then those that the kernel had accepted by then. When
 // descriptors run out it waits and tries again.
 func (s *service) accept(l *net.TCPListener) error {
 	defer close(s.acceptDone)
 	defer l.Close()
 	var backlog acceptBacklog
+	pace := s.net.NewPace()
+	defer pace.End()
 	for {
 		nc, err := l.Accept()
+		acceptedAt := time.Now()
+		pace.Input(acceptedAt)
 		switch {
 		case err == nil:
 			backlog.accepted = true
 			select {
 			case s.arrivals <- nc:
+				pace.Pause(connectionCost * time.Since(acceptedAt))
 			case <-s.ctx.Done():
 				nc.Close()
 				return nil
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -71,19 +71,31 @@
 		e.sink.Connected()
 	case isData:
 		e.conn.inputDelivered += uint64(len(e.data))
-		e.sink.Feed(e.data)
+		e.conn.feed(e.sink, e.data)
 		e.consumed <- struct{}{}
 	case isEnd:
 		e.sink.Ended(e.how)
 	}
 }
 
+// feed passes input to the sink. It takes the time if the reader needs it.
+func (c *Conn) feed(sink Sink, data []byte) {
+	if !c.timed {
+		sink.Feed(data)
+		return
+	}
+	begun := time.Now()
+	sink.Feed(data)
+	c.feedTook = time.Since(begun)
+}
+
 // Network is what connections share: their owner and their limits.
 type Network struct {
 	ctx    context.Context // once it is done entries are no longer consumed
 	group  *errgroup.Group
 	inbox  Inbox
 	limits sharedLimits
+	pacer  pacer
 }
 
 // NewNetwork runs connections in a group until the context ends. maxQueued is the number of output bytes that may be
@@ -128,7 +140,9 @@
 	writeBegunAt atomic.Int64 // when the write in progress began, in nanoseconds since the network's start; 0: none is in progress
 	dialed       bool         // opened by Dial
 
-	inputDelivered uint64 // input bytes delivered to the owner; used by the owner's goroutine only
+	inputDelivered uint64        // input bytes delivered to the owner; used by the owner's goroutine only
+	timed          bool          // the reader wants to know how long the owner takes for input; set before that is passed on
+	feedTook       time.Duration // how long the owner took for the last input, if timed; set before the reader is told that it is consumed
 
 	mu            sync.Mutex
 	out           []byte
@@ -235,6 +249,8 @@
 func (c *Conn) read(nc net.Conn, size int) Ending {
 	const maxDiscarded = 64 << 10 // bytes read in a lingering close: many usual requests; a flood is cut off
 	buf, consumed, left := make([]byte, size), make(chan struct{}, 1), maxDiscarded
+	pace := c.net.NewPace()
+	defer pace.End()
 	for {
 		if c.dialed {
 			c.net.limits.waitForOutput(c)
@@ -245,9 +261,11 @@
 				return Closed
 			}
 		} else if n > 0 {
+			c.timed = pace.Input(time.Now())
 			c.net.post(Entry{sink: c.sink, conn: c, kind: isData, data: buf[:n], consumed: consumed})
 			select {
 			case <-consumed:
+				pace.Pause(c.feedTook)
 			case <-c.net.ctx.Done():
 				return Closed
 			}
@@ -297,8 +315,9 @@
 				}
 				break
 			}
-			nc.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-			c.writeBegunAt.Store(c.net.limits.sinceStart())
+			now := time.Now()
+			nc.SetWriteDeadline(now.Add(c.writeTimeout))
+			c.writeBegunAt.Store(c.net.limits.sinceStart(now))
 			accepted, err := nc.Write(out)
 			c.writeBegunAt.Store(0)
 			c.addQueued(-len(out))
--- a/internal/transport/sharedlimits.go
+++ b/internal/transport/sharedlimits.go
@@ -96,7 +96,7 @@
 // others wait for the memory that such output takes. It does nothing if all peers keep up.
 func (n *Network) EndSlowReader() {
 	l := &n.limits
-	now := l.sinceStart()
+	now := l.sinceStart(time.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	slow := l.largestQueueOf(func(c *Conn) bool {
@@ -108,8 +108,8 @@
 	}
 }
 
-// sinceStart returns the nanoseconds since the network's start, at least 1.
-func (l *sharedLimits) sinceStart() int64 { return max(int64(time.Since(l.start)), 1) }
+// sinceStart returns a time in nanoseconds since the network's start, at least 1.
+func (l *sharedLimits) sinceStart(now time.Time) int64 { return max(int64(now.Sub(l.start)), 1) }
 
 // waitForOutput waits until the queued output of all connections has fallen to the threshold for reading dialed connections. As reading
 // also tells of a peer's end, it waits for a bounded time only.
