A later start of a server retires the connections to its process before

Callers saw: where a server's process was replaced by another at the same address and under the same name, attempts went out on connections to the process that had gone, and were lost where that had vanished without a word.

Cause: the pool of connections told processes apart by name and address alone; the start, by which the controller does, was not compared.

Change: a later start retires a server's connections, as another address does.

--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -107,6 +107,7 @@
 
 type server struct {
 	addr          netip.AddrPort
+	startedAt     float64 // start of its process, in seconds; 0: long ago
 	state         admission.State
 	previousState admission.State // in the previous list
 }
@@ -150,11 +151,11 @@
 			e = &server{}
 			p.servers[n.Server] = e
 		}
-		if a := addr(n.Server); e.addr != a {
+		if a := addr(n.Server); e.addr != a || e.startedAt != n.ReadyAt { // another process: the connections lead to the one before
 			if e.addr.IsValid() {
 				p.retire(n.Server)
 			}
-			e.addr = a
+			e.addr, e.startedAt = a, n.ReadyAt
 		}
 		e.state = n.State
 	}
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -125,11 +125,13 @@
 	y.pool.SetTime(now)
 	defer y.pool.ReportEnds()
 	switch w[1] {
-	case "list": // server=state; the address is made from the number
+	case "list": // server=state or server=state@start; the address is made from the number
 		var list []admission.Entry
 		for _, e := range w[2:] {
 			n, state, _ := strings.Cut(e, "=")
-			list = append(list, admission.Entry{Server: parseID(t, n),
+			state, start, _ := strings.Cut(state, "@")
+			startedAt, _ := strconv.ParseFloat(start, 64)
+			list = append(list, admission.Entry{Server: parseID(t, n), ReadyAt: startedAt,
 				State: map[string]admission.State{"ready": admission.Ready, "drains": admission.Draining}[state]})
 		}
 		y.pool.UpdateServers(list, func(n uint32) netip.AddrPort {
