An id is in use until its attempt has ended, and is remembered where it must not run twice

Callers saw: a client left while its request ran at a server, and a request came with the same id: a second attempt began beside the first, and a request that must not run twice did.

Cause: an id was free as soon as nobody waited for its answer, not when its attempt had ended; what may have run was not remembered.

Evidence: TestSameIDAfterLeaving on the code before: a server was sent the request again in all three profiles.

TestDuplicateID holds as it was. The test failed before.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -54,8 +54,9 @@
 	statementBudget int
 	messageMemory   *frontend.MessageMemory // for incomplete messages
 	results         resultLimits
-	activeRefs      map[backends.Ref]struct{} // ids of the requests that clients wait for
-	ending          bool                      // asked to stop: health checks fail, so that clients use other routers
+	activeRefs      map[backends.Ref]struct{} // ids of the requests in progress, also of those whose clients have left
+	executedRefs    executedRefs
+	ending          bool // asked to stop: health checks fail, so that clients use other routers
 	listReceived    bool
 	profiles        map[string]int
 	tenants         map[string]int
@@ -204,7 +205,7 @@
 		client.Rejected(seq, r.set.Admission.MaxPause, nil) // the longest pause that clients honour: the load takes a while to clear
 		return
 	}
-	if _, inUse := r.activeRefs[a.Ref]; inUse { // the answer to the other request could be taken for this one's
+	if r.refInUse(a.Ref) { // the answer to the other request could be taken for this one's, or it would run twice
 		r.log.Info("request id is already in use", zap.ByteString("ref", a.Ref[:]))
 		client.Failed(seq)
 		return
@@ -307,7 +308,6 @@
 	r.holdStatement(req.client, -len(req.attempt.Statement))
 	req.client.AddResultBytes(-req.attempt.ReservedBytes())
 	req.attempt.ResultUnwanted, req.client = true, nil
-	delete(r.activeRefs, req.attempt.Ref)
 	r.unanswered--
 }
 
@@ -315,6 +315,7 @@
 func (r *Router) recycle(req *request) {
 	if id := req.attempt.ID; req.done() && !req.attempt.Outstanding() && r.requests[id] == req {
 		delete(r.requests, id)
+		delete(r.activeRefs, req.attempt.Ref)
 		const maxFree, maxStatement = 1024, 4 << 10 // requests and statement bytes kept for reuse: those of a busy second, 4 MB at most
 		if cap(req.attempt.Statement) > maxStatement {
 			req.attempt.Statement = nil
@@ -332,6 +333,9 @@
 	req := r.requests[j.ID]
 	r.attemptEnded(req, end)
 	req.lastEnd = end
+	if mayHaveRun(j, end) && !r.mayRepeat(req) {
+		r.executedRefs.add(j.Ref, r.now)
+	}
 	if end == admission.Completed && !req.done() {
 		req.client.Completed(req.seq, j.Pages, r.waitInfo(req))
 		r.done(req)
