What a client sent before it closed its connection is not sent on, however much lies unread

Callers saw: a client sent many requests and closed its connection with much still unread in the router; the requests were sent on though their client had left, and so were its requests that were held.

Cause: the end of a connection was learned in the order of its bytes, behind all that was unread.

Change: with a request's age the system tells whether the other side has closed or reset the connection.

--- a/internal/frontend/idle.go
+++ b/internal/frontend/idle.go
@@ -40,6 +40,7 @@
 	if s.closeWhenIdle || s.closing {
 		s.closeTicks++
 	}
+	s.noticeDeparture()
 	switch {
 	case s.messageOverdue():
 		s.CloseWhenIdle(NoCompleteMessage)
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -63,7 +63,9 @@
 	Append(b []byte) int64
 	Queued() int // bytes that are queued or being written
 	Finish()
-	InputPending() bool                   // bytes have arrived that were not fed yet
+	Drop()
+	InputPending() bool // bytes have arrived that were not fed yet
+	InputState() transport.InputState
 	LateInputState() transport.InputState // of input that is being fed, zero if it was read promptly
 	OutputPending() bool                  // some of the appended bytes have not reached the peer
 }
@@ -106,14 +108,18 @@
 // Feed processes received bytes. After an unreadable message it discards them. On a connection that is being closed for another reason
 // requests are rejected for as long as an answer can still leave.
 func (s *Session) Feed(b []byte) {
-	if s.reason == Unreadable || s.ended {
+	if s.reason == Unreadable || s.ended || s.input.gone {
 		return
 	}
 	s.feeding, s.input.known = true, false
 	err := s.frames.Feed(b, s.frame)
 	s.feeding = false
 	s.input.earlyBytes = max(s.input.earlyBytes-len(b), 0)
-	if err != nil {
+	switch {
+	case s.input.gone:
+		s.releaseMessage()
+		return
+	case err != nil:
 		s.endUnreadable(err)
 		return
 	}
@@ -161,11 +167,7 @@
 	if how == transport.PeerFinished {
 		s.halfClosed = true
 		s.noteReason(ClientClosed)
-		for _, seq := range slices.Sorted(maps.Keys(s.open)) {
-			if id, open := s.open[seq]; open {
-				s.handler.HalfClosed(id)
-			}
-		}
+		s.reportHalfClosed()
 		s.closeIfIdle()
 		return
 	}
@@ -225,6 +227,9 @@
 
 // frame handles one message. Of a discarded message it gets the header alone.
 func (s *Session) frame(frame []byte) error {
+	if s.input.gone {
+		return nil
+	}
 	discarded := s.discarded
 	s.discarded = false
 	r := thrift.NewReader(frame)
@@ -255,8 +260,12 @@
 	if _, duplicate := s.open[seq]; duplicate {
 		return errDuplicateSeq
 	}
+	input := s.inputState()
 	switch {
-	case s.closeWhenIdle || s.closing:
+	case input.Gone:
+		s.leave()
+		return nil
+	case s.closeWhenIdle || s.closing || input.Finished && input.Age >= staleInput:
 		s.Rejected(seq, 0, nil)
 		return nil
 	case len(s.open) >= maxOpen:
@@ -271,7 +280,6 @@
 		s.writeException("call", seq, thrift.ProtocolError, fault)
 		return nil
 	}
-	input := s.inputState()
 	a.Waited, a.ReadLag = s.messageAge(input).Seconds(), input.Idle.Seconds()
 	s.handler.HandleRequest(s, seq, &a)
 	return nil
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -45,7 +45,9 @@
 func (h *testHandler) Finish()                                      { h.say("finishes") }
 func (h *testHandler) Queued() int                                  { return 0 }
 func (h *testHandler) InputPending() bool                           { return h.inputPending }
+func (h *testHandler) InputState() transport.InputState             { return h.input }
 func (h *testHandler) LateInputState() transport.InputState         { return h.input }
+func (h *testHandler) Drop()                                        { h.say("drops") }
 func (h *testHandler) OutputPending() bool                          { return false }
 func (h *testHandler) Append(b []byte) int64 {
 	h.say("answers %s", fake.Format(b[4:]))
--- a/internal/frontend/waited.go
+++ b/internal/frontend/waited.go
@@ -12,6 +12,8 @@
 type inputState struct {
 	state      transport.InputState // while the present input is fed
 	known      bool                 // state has been asked for
+	gone       bool                 // the client has left: what is fed from now on is discarded
+	halfClosed bool                 // the handler knows for all open requests that the client has closed its side
 	earlyBytes int                  // bytes that arrived before the session began and are yet to be fed
 	earlyAge   time.Duration        // how long the last of the early bytes had been unread
 }
--- a/internal/transport/pending.go
+++ b/internal/transport/pending.go
@@ -11,9 +11,11 @@
 
 // InputState is what the system knows of a connection's input. It is zero if the system does not tell.
 type InputState struct {
-	Pending bool          // bytes have come that were not delivered to the owner: the system or the reader holds them
-	Age     time.Duration // for how long, at least, the bytes that were delivered last had come
-	Idle    time.Duration // time since the newest bytes came
+	Pending  bool          // bytes have come that were not delivered to the owner: the system or the reader holds them
+	Age      time.Duration // for how long, at least, the bytes that were delivered last had come
+	Idle     time.Duration // time since the newest bytes came
+	Finished bool          // the other side has closed its side, behind all that has come
+	Gone     bool          // the connection has been reset
 }
 
 // InputState returns the state of the input. Only the owner may call it. It makes a system call.
@@ -29,9 +31,11 @@
 	c.arrivals.note(now, info.Bytes_received, c.inputDelivered)
 	idle := time.Duration(info.Last_data_recv) * time.Millisecond
 	return InputState{
-		Pending: info.Bytes_received > c.inputDelivered,
-		Age:     max(idle, c.arrivals.age(now)),
-		Idle:    idle,
+		Pending:  info.Bytes_received > c.inputDelivered,
+		Age:      max(idle, c.arrivals.age(now)),
+		Idle:     idle,
+		Finished: info.State == tcpCloseWait,
+		Gone:     info.State == tcpClose,
 	}
 }
 
@@ -104,6 +108,12 @@
 	return now - a.samples[0].at
 }
 
+// States of a TCP connection, as Linux numbers them.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
 // InputPending reports whether bytes have come that were not delivered to the owner: they are in the system's receive
 // buffer, or the reader holds them. Only the owner may call it. The other side's close counts as a byte. It is false
 // if the system does not tell.
