Connections keep buffers for short messages only

Callers saw: with 480 clients whose requests and results had 12 to 14 KB a router with 32 MB took 35 MB; the platform kills it over its memory.

Cause: each connection kept a buffer of up to 16 KB for input and two for output, which nothing counted; the process kept 3 MB of pages and 4 MB of statements.

Change: 1 KB of input and 2 KB of output are kept, 128 pages and statements of up to 1 KB. An entry's time is taken once.

--- a/internal/backends/answers.go
+++ b/internal/backends/answers.go
@@ -101,7 +101,7 @@
 }
 
 func (p *Pool) freePages(j *Attempt) {
-	const maxSparePages = 512 // 3 MB of page buffers are kept for reuse
+	const maxSparePages = 128 // 0.8 MB of page buffers are kept for reuse
 	for _, b := range j.Pages {
 		if b != nil && len(p.sparePages) < maxSparePages {
 			p.sparePages = append(p.sparePages, b)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -318,7 +318,7 @@
 	if id := req.attempt.ID; req.done() && !req.attempt.Outstanding() && r.requests[id] == req {
 		delete(r.requests, id)
 		delete(r.activeRefs, req.attempt.Ref)
-		const maxFree, maxStatement = 1024, 4 << 10 // requests and statement bytes kept for reuse: those of a busy second, 4 MB at most
+		const maxFree, maxStatement = 1024, 1 << 10 // requests and statement bytes kept for reuse: those of a busy second, 1 MB at most
 		if cap(req.attempt.Statement) > maxStatement {
 			req.attempt.Statement = nil
 		}
--- a/internal/thrift/frames.go
+++ b/internal/thrift/frames.go
@@ -18,6 +18,10 @@
 	missing  int // bytes of a discarded frame that are yet to come; 0: no frame is being discarded
 }
 
+// maxKeptBuffer is the largest buffer, in bytes, that is kept while no frame is incomplete. There are hundreds of connections, and messages come
+// in one piece mostly.
+const maxKeptBuffer = 1 << 10
+
 // lengthSize is the size of a frame's length field, in bytes.
 const lengthSize = 4
 
@@ -54,8 +58,8 @@
 		}
 		b = b[lengthSize+n:]
 	}
-	if f.buffered = append(f.buffered[:0], b...); len(f.buffered) == 0 && cap(f.buffered) > 16<<10 {
-		f.buffered = nil // one long message must not occupy memory for the lifetime of its connection
+	if f.buffered = append(f.buffered[:0], b...); len(f.buffered) == 0 && cap(f.buffered) > maxKeptBuffer {
+		f.buffered = nil
 	}
 	return nil
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -117,8 +117,11 @@
 // Lingering returns the number of connections in a lingering close.
 func (n *Network) Lingering() int { return int(n.limits.lingering.Load()) }
 
-func (n *Network) post(e Entry) {
-	e.readyAt = time.Now()
+func (n *Network) post(e Entry) { n.postAt(time.Now(), e) }
+
+// postAt is post where the present time is known.
+func (n *Network) postAt(now time.Time, e Entry) {
+	e.readyAt = now
 	select {
 	case n.inbox <- e:
 	case <-n.ctx.Done():
@@ -265,8 +268,9 @@
 				return Closed
 			}
 		} else if n > 0 {
-			c.timed = pace.Input(time.Now())
-			c.net.post(Entry{sink: c.sink, conn: c, kind: isData, data: buf[:n], consumed: consumed})
+			now := time.Now()
+			c.timed = pace.Input(now)
+			c.net.postAt(now, Entry{sink: c.sink, conn: c, kind: isData, data: buf[:n], consumed: consumed})
 			select {
 			case <-consumed:
 				pace.Pause(c.feedTook)
@@ -288,7 +292,7 @@
 
 // write sends what was appended. It holds no lock during a write.
 func (c *Conn) write(nc net.Conn) {
-	const maxKeptBuffer = 16 << 10 // bytes: a burst must not hold memory for the rest of the connection's lifetime
+	const maxKeptBuffer = 2 << 10 // bytes: long output must not hold memory for the rest of the connection's lifetime, of which there are hundreds
 	var spare []byte
 	for {
 		select {
