A coordinator whose log nobody reads ends at SIGTERM

Cause: dunekeep run waited for the log's writer without a bound; the writer was in a write that never returns. Routers wait for 1 s.

Change: the log's writer and its bounded wait at the end stand once, in internal/logs, for routers and coordinators.

--- a/cmd/dunekeep/main.go
+++ b/cmd/dunekeep/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,7 +16,6 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 )
 
 func main() {
@@ -80,16 +78,9 @@
 	}
 	runCommand := &cobra.Command{Use: "run FOLDER", Short: "Run the coordinator until SIGTERM", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			writer := logs.NewWriter()
-			ctx, stopWriter := context.WithCancel(context.Background())
-			var group errgroup.Group
-			group.Go(func() error {
-				writer.Run(ctx, os.Stderr)
-				return nil
-			})
-			err := coordserver.Serve(c.Context(), args[0], options, logs.New(writer, zap.InfoLevel))
-			stopWriter()
-			return errors.Join(err, group.Wait())
+			writer, flushLog := logs.Start(os.Stderr)
+			defer flushLog()
+			return coordserver.Serve(c.Context(), args[0], options, logs.New(writer, zap.InfoLevel))
 		}}
 	f = runCommand.Flags()
 	f.StringVar(&options.Listen, "listen", "", "address and port to listen on, if it differs from the address that the others use")
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -47,7 +47,8 @@
 	if err != nil {
 		return err
 	}
-	writer := logs.NewWriter()
+	writer, flushLog := logs.Start(out)
+	defer flushLog()
 	ctx, cancel := context.WithCancel(context.Background())
 	log := logs.New(writer, level)
 	reloaded := make(chan config.Config)
@@ -62,21 +63,10 @@
 	if s := cfg.Operator.State; s != nil {
 		state = extensions.State(*s, cfg.Name, log)
 	}
-	// Reading a file that nobody writes, or writing a log that nobody reads, can't be interrupted. Shutdown therefore waits for the log
-	// writer only for a limited time and not for reload; both end with the process.
-	logWritten := make(chan struct{})
-	go func() {
-		defer close(logWritten)
-		writer.Run(ctx, out)
-	}()
+	// Reading a file that nobody writes can't be interrupted. Shutdown does not wait for reload, which ends with the process.
 	go reload(ctx, load, hangups, reloaded, log)
 	err = router.Serve(ctx, stopping.Done(), reloaded, cfg, fleet, state, log)
 	cancel()
-	const logFlushTimeout = time.Second // enough for a slow log reader to receive the last lines
-	select {
-	case <-logWritten:
-	case <-time.After(logFlushTimeout):
-	}
 	return err
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -49,6 +49,28 @@
 	}
 }
 
+// flushTimeout is how long the end of a program waits for the last lines: enough for a slow reader of the log.
+const flushTimeout = time.Second
+
+// Start starts a writer of lines to out. The caller must call stop at the end of the program, which writes the buffered lines and waits for a
+// limited time only: a write that nobody reads can't be interrupted, and its goroutine ends with the process.
+func Start(out io.Writer) (w *Writer, stop func()) {
+	w = NewWriter()
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		w.Run(ctx, out)
+	}()
+	return w, func() {
+		cancel()
+		select {
+		case <-written:
+		case <-time.After(flushTimeout):
+		}
+	}
+}
+
 // LevelVariable is the environment variable with the lowest level that is logged; the default is info.
 const LevelVariable = "DUNEREACH_LOG_LEVEL"
 
