A coordinator goes on when the reader of its log has gone

Cause: the runtime raises SIGPIPE for writes to standard error; dunekeep did not ignore it, as routers do.

Change: dunekeep ignores SIGPIPE.

The test failed before.

--- a/cmd/dunekeep/main.go
+++ b/cmd/dunekeep/main.go
@@ -19,6 +19,7 @@
 )
 
 func main() {
+	signal.Ignore(syscall.SIGPIPE) // a log reader that closes its pipe must not end the coordinator
 	signal.Ignore(syscall.SIGXFSZ) // reaching the file size limit is reported as a write error, like a full disk
 	ctx, stopNotify := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stopNotify()
--- a/cmd/dunekeep/main_test.go
+++ b/cmd/dunekeep/main_test.go
@@ -80,6 +80,18 @@
 	}
 }
 
+// TestLogReaderGone guards against a coordinator that is killed by its next log line once the reader of its log has gone.
+func TestLogReaderGone(t *testing.T) {
+	cmd, log := startCoordinator(t)
+	waitFor(t, log, "keeping")
+	log.Close()
+	time.Sleep(leadsWithin)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	expectEnd(t, cmd, testTimeout)
+}
+
 // TestLogNotRead guards against a coordinator that does not end at SIGTERM as nobody reads its log.
 func TestLogNotRead(t *testing.T) {
 	const pipeSize, maxEnd = 4096, 5 * time.Second
