A router's fences and its state share one lock of their folder

Cause: the file of fences and the store each locked NAME.lock by a descriptor of its own; in one folder the second was refused by the first of the same process.

Change: a process has one lock for a name in a folder, which its parts share; the same part can't have it twice, other processes are kept out. The lock's file is the same as before.

--- a/internal/agentdriver/fencefile.go
+++ b/internal/agentdriver/fencefile.go
@@ -8,18 +8,18 @@
 	"path/filepath"
 
 	"dunereach/fleet/agent"
+	"dunereach/internal/folderlock"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/renameio/v2"
-	"golang.org/x/sys/unix"
 )
 
 // fenceFile stores a router's fences in one small file of its folder, which is replaced atomically. Its lock ends with
 // the process.
 type fenceFile struct {
 	path       string
-	lock       *os.File
+	lock       *folderlock.Lock
 	unreadable string // why the file of an earlier process could not be read, "": it could
 }
 
@@ -33,13 +33,12 @@
 		return nil, unknown, fmt.Errorf("/fleet/folder: %v", err)
 	}
 	base := filepath.Join(folder, filepath.Base(name))
-	lock, err := os.OpenFile(base+".lock", os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return nil, unknown, fmt.Errorf("/fleet/folder: %v", err)
-	}
-	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-		lock.Close()
+	lock, err := folderlock.Acquire(folder, filepath.Base(name), "fences")
+	switch {
+	case errors.Is(err, folderlock.ErrLocked):
 		return nil, unknown, fmt.Errorf("/fleet/folder: another router named %q is using %s", name, folder)
+	case err != nil:
+		return nil, unknown, fmt.Errorf("/fleet/folder: %v", err)
 	}
 	fences := &fenceFile{path: base + ".fences", lock: lock}
 	data, err := os.ReadFile(fences.path)
@@ -77,4 +76,4 @@
 	return renameio.WriteFile(f.path, append(data, body...), 0o600)
 }
 
-func (f *fenceFile) close() error { return f.lock.Close() }
+func (f *fenceFile) close() error { return f.lock.Release() }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -15,6 +15,8 @@
 	"slices"
 	"strconv"
 
+	"dunereach/internal/folderlock"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/renameio/v2"
 	"golang.org/x/sys/unix"
@@ -44,14 +46,14 @@
 // Errors of a folder.
 var (
 	ErrNewer  = errors.New("written by a newer version of this program; left unchanged")
-	ErrLocked = errors.New("another process has locked it")
+	ErrLocked = folderlock.ErrLocked
 	ErrFull   = errors.New("the journal is full until the next snapshot")
 )
 
 // Store is one process's open folder. It is not safe for concurrent use.
 type Store struct {
 	dir, name   string
-	lock        *os.File
+	lock        *folderlock.Lock
 	generation  uint64
 	journal     *os.File
 	journalSize int
@@ -78,13 +80,12 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, Contents{}, fmt.Errorf("store: %v", err)
 	}
-	lock, err := os.OpenFile(filepath.Join(dir, name+".lock"), os.O_CREATE|os.O_RDWR|unix.O_NOFOLLOW|unix.O_CLOEXEC, 0o600)
-	if err != nil {
-		return nil, Contents{}, fmt.Errorf("store: %v", err)
-	}
-	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-		lock.Close()
+	lock, err := folderlock.Acquire(dir, name, "state")
+	switch {
+	case errors.Is(err, ErrLocked):
 		return nil, Contents{}, fmt.Errorf("store: %s in %s: %w", name, dir, ErrLocked)
+	case err != nil:
+		return nil, Contents{}, fmt.Errorf("store: %v", err)
 	}
 	s := &Store{dir: dir, name: name, lock: lock, maxSizes: [2]int{MaxBody, MaxJournal}}
 	r, newest, err := Load(dir, name)
@@ -112,7 +113,7 @@
 		s.journal.Close()
 		s.journal = nil
 	}
-	return s.lock.Close()
+	return s.lock.Release()
 }
 
 func (s *Store) path(generation uint64, kind string) string {
