--- a/cmd/dunereach/slow_writers_test.go
+++ b/cmd/dunereach/slow_writers_test.go
@@ -67,35 +67,7 @@
 func TestSlowWriters(t *testing.T) {
 	for name, run := range slowKinds {
 		t.Run(name, func(t *testing.T) {
-			w := prepareCluster(t, 2, 1024)
-			w.replaceConfig(`"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, resultsMemoryMB))
-			w.start()
-			w.waitForLog("serving")
-			go func() {
-				for range w.logLines {
-				}
-			}()
-			ctx, cancel := context.WithTimeout(context.Background(), slowPlay)
-			defer cancel()
-			serving, stopServing := context.WithCancel(context.Background())
-			defer stopServing()
-			go w.answerTwoPages(serving)
-			r := &limitsResult{}
-			var usual, slow sync.WaitGroup
-			for k := range slowClients {
-				c := fake.NewClient(t, w.addr)
-				slow.Go(func() { run(ctx, c, k); c.Disconnect() })
-				slow.Go(func() {
-					for !strings.Contains(c.NextAnswer(), "closed") && ctx.Err() == nil {
-					}
-				})
-			}
-			for k := range usualClients {
-				usual.Go(func() { r.runLimited(ctx, w, 1+k) })
-			}
-			usual.Wait()
-			r.peakMB = w.peakMemory()
-			slow.Wait()
+			r := playSlowWriters(t, run)
 			t.Logf("%d sent, %d served, %d rejected, %d late, %d lost, %.0f MB", r.sent.Load(), r.served.Load(), r.rejected.Load(), r.late.Load(),
 				r.lost.Load(), r.peakMB)
 			if r.lost.Load() > 0 || r.late.Load() > 0 || r.peakMB > resultsMemoryMB {
@@ -105,6 +77,43 @@
 	}
 }
 
+// playSlowWriters lets hundreds of clients run beside usual ones, and returns what those saw.
+func playSlowWriters(t *testing.T, run func(ctx context.Context, c *fake.Client, client int)) *limitsResult {
+	w := prepareCluster(t, 2, 1024)
+	w.replaceConfig(`"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, resultsMemoryMB))
+	w.start()
+	w.waitForLog("serving")
+	go func() {
+		for range w.logLines {
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), slowPlay)
+	defer cancel()
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	go w.answerTwoPages(serving)
+	r := &limitsResult{}
+	var usual, slow sync.WaitGroup
+	for k := range slowClients {
+		c := fake.NewClient(t, w.addr)
+		slow.Go(func() { run(ctx, c, k); c.Disconnect() })
+		slow.Go(func() { readUntilClosed(ctx, c) })
+	}
+	for k := range usualClients {
+		usual.Go(func() { r.runLimited(ctx, w, 1+k) })
+	}
+	usual.Wait()
+	r.peakMB = w.peakMemory()
+	slow.Wait()
+	return r
+}
+
+// readUntilClosed reads answers until the connection or the context has ended.
+func readUntilClosed(ctx context.Context, c *fake.Client) {
+	for ctx.Err() == nil && !strings.Contains(c.NextAnswer(), "closed") {
+	}
+}
+
 // answerTwoPages lets the servers answer each request with a result that is just within what buffers are kept for.
 func (w *cluster) answerTwoPages(ctx context.Context) {
 	page := strings.Repeat(strings.Repeat("x", 57)+"\t\t\n", pageSize/60)
