Only ids whose clients have left without an answer are remembered

The change remembered each id that may have run and must not run twice, also where the client had its answer; the test has such an id used again, as its client knows what has become of the request.

--- a/internal/router/executedrefs.go
+++ b/internal/router/executedrefs.go
@@ -66,6 +66,14 @@
 	return !j.NeverSent
 }
 
+// rememberIfLeft remembers the id of a request whose client has left, if it may have run and must not run again. A client that has its answer
+// knows what has become of the request.
+func (r *Router) rememberIfLeft(req *request) {
+	if req.clientLeft && req.mayHaveRun && !r.mayRepeat(req) {
+		r.executedRefs.add(req.attempt.Ref, r.now)
+	}
+}
+
 // mayRepeat reports whether a request may run again.
 func (r *Router) mayRepeat(req *request) bool {
 	profile := r.profiles[req.attempt.Profile]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,7 +30,9 @@
 	arrivedAt float64
 	attempt   backends.Attempt // the latest attempt; id, statement and priority are the request's
 
-	lastEnd admission.End // end of the previous attempt, if there was one
+	lastEnd    admission.End // end of the previous attempt, if there was one
+	mayHaveRun bool          // an attempt that has ended may have run
+	clientLeft bool          // the client has left without an answer
 }
 
 // done reports whether the client has its answer or has left.
@@ -278,6 +280,8 @@
 func (r *Router) ClientLeft(id uint32) {
 	if req := r.requests[id]; req != nil && !req.done() {
 		r.done(req)
+		req.clientLeft = true
+		r.rememberIfLeft(req)
 		r.controller.ClientLeft(r.now, id)
 		r.recycle(req)
 	}
@@ -335,9 +339,8 @@
 	req := r.requests[j.ID]
 	r.attemptEnded(req, end)
 	req.lastEnd = end
-	if mayHaveRun(j, end) && !r.mayRepeat(req) {
-		r.executedRefs.add(j.Ref, r.now)
-	}
+	req.mayHaveRun = req.mayHaveRun || mayHaveRun(j, end)
+	r.rememberIfLeft(req)
 	if end == admission.Completed && !req.done() {
 		req.client.Completed(req.seq, j.Pages, r.waitInfo(req))
 		r.done(req)
