Timers of ended requests are removed, so that memory does not grow with withdrawn ones

Cause: the time limits of requests and attempts are timers that stayed until their time, also when the request had ended.

Change: whenever the number of timers has doubled, those that would do nothing are removed; the controller tells which wakes have an effect.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -703,12 +703,21 @@
 
 // ---- maintenance
 
+// AwaitsWake reports whether a wake with a token would have an effect. Its host may drop a timer for which it would not.
+func (b *Controller) AwaitsWake(token uint64) bool {
+	if token == 0 {
+		return true
+	}
+	i, ok := b.requests.at[uint32(token)]
+	return ok && !b.requests.states[i].done && !b.requests.states[i].streaming
+}
+
 // Woken handles a timer that was set with Host.Wake.
 func (b *Controller) Woken(now float64, token uint64) {
 	b.now = now
 	if token != 0 { // the time limit of a request; else the maintenance tick
-		if i, ok := b.requests.at[uint32(token)]; ok && !b.requests.states[i].done && !b.requests.states[i].streaming {
-			b.finishUnserved(i)
+		if b.AwaitsWake(token) {
+			b.finishUnserved(b.requests.at[uint32(token)])
 			b.dispatchQueued()
 		}
 		return
--- a/cmd/dunereach/flood_part_test.go
+++ b/cmd/dunereach/flood_part_test.go
@@ -23,7 +23,10 @@
 	"golang.org/x/sys/unix"
 )
 
-var floodTable = flag.String("flood-table", "", "play all floods of TestFloodsOnPartOfCore with `CLIENTS/PARTS`, such as 60/4, and print a table")
+var (
+	floodTable  = flag.String("flood-table", "", "play all floods of TestFloodsOnPartOfCore with `CLIENTS/PARTS`, such as 60/4, and print a table")
+	floodLength = flag.Duration("flood-length", 3*time.Second, "length of a play of TestFloodsOnPartOfCore")
+)
 
 const (
 	usualClients   = 6
@@ -31,9 +34,9 @@
 	usualTimeout   = 831 * time.Millisecond
 	usualSlack     = 50 * time.Millisecond // by which an answer may be late, as the protocol says of each time limit
 	floodBatch     = 32                    // messages in one write
-	floodLength    = 3 * time.Second
 	floodMemoryMB  = 32
 	floodSockets   = 256
+	maxFlood       = 10 * time.Minute // after which a process that floods ends by itself
 	busyLoopScript = "while :; do :; done"
 )
 
@@ -203,6 +206,12 @@
 		}
 		return b
 	}},
+	{name: "withdrawn, long deadlines", batch: batchOf(func(client, n, k int) []byte {
+		seq := int32(n*floodBatch + k + 1)
+		call := fake.Call(seq, "SELECT 1", "service", "order", "project", "acme", "allow", "30000", "effort", "20", "memory", "1",
+			"ref", fmt.Sprintf("%04x%012x", 0xf000+client, n*floodBatch+k))
+		return append(call, cancelMessage(seq)...)
+	})},
 	{name: "requests", batch: batchOf(func(client, n, k int) []byte { return floodCall(client, n, k) })},
 	{name: "unknown names", batch: batchOf(func(client, n, k int) []byte {
 		return fake.Call(int32(n*floodBatch+k+1), "SELECT 1", "service", fmt.Sprint("class", n, k), "project", fmt.Sprint("tenant", n, k), "allow", "831",
@@ -286,7 +295,7 @@
 		for range w.logLines {
 		}
 	}()
-	ctx, cancel := context.WithTimeout(context.Background(), floodLength)
+	ctx, cancel := context.WithTimeout(context.Background(), *floodLength)
 	defer cancel()
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
@@ -335,7 +344,7 @@
 	}
 	clients := 1
 	fmt.Sscan(os.Getenv(floodClientsVariable), &clients)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*floodLength) // the test ends it before
+	ctx, cancel := context.WithTimeout(context.Background(), maxFlood) // the test ends it before
 	defer cancel()
 	var group sync.WaitGroup
 	for _, f := range floods {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,6 +47,7 @@
 	serverName func(id uint32) string
 	now        float64
 	timers     timers
+	maxTimers  int // number of timers beyond which those of ended requests are removed
 
 	requests        map[uint32]*request
 	freeRequests    []*request
@@ -75,7 +76,7 @@
 
 // New creates a router that has no list of servers and no time yet.
 func New(set settings.Settings, statementBudget int, log *zap.Logger, serverName func(uint32) string) *Router {
-	r := &Router{set: set, log: log, serverName: serverName, statementBudget: statementBudget,
+	r := &Router{set: set, log: log, serverName: serverName, statementBudget: statementBudget, maxTimers: minTimers,
 		messageMemory: frontend.NewMessageMemory(statementBudget / 2),
 		requests:      map[uint32]*request{}, activeRefs: map[backends.Ref]struct{}{}, profiles: map[string]int{}, tenants: map[string]int{}}
 	// Probes, messages to other routers and requests for the list are off: the service fetches the list by itself.
@@ -170,8 +171,8 @@
 		t := r.timers.pop()
 		if t.kind == timerWake {
 			r.controller.Woken(r.now, t.token)
-		} else if req := r.requests[uint32(t.token)]; req != nil && req.attempt.Outstanding() && req.attempt.AttemptNumber == int(t.token>>32) {
-			r.pool.Abandon(&req.attempt, admission.TimedOut)
+		} else if r.timerHasEffect(t) {
+			r.pool.Abandon(&r.requests[uint32(t.token)].attempt, admission.TimedOut)
 		}
 		r.pool.ReportEnds()
 	}
@@ -382,7 +383,7 @@
 	r.attemptBegun(req)
 	r.pool.Send(j)
 	if j.Outstanding() {
-		r.timers.push(timer{at: until, kind: timerAttemptLimit, token: uint64(id) | uint64(j.AttemptNumber)<<32})
+		r.setTimer(timer{at: until, kind: timerAttemptLimit, token: uint64(id) | uint64(j.AttemptNumber)<<32})
 	}
 }
 
@@ -433,7 +434,7 @@
 
 // Wake sets a timer that calls the controller with the token after the given seconds.
 func (r *Router) Wake(after float64, token uint64) {
-	r.timers.push(timer{at: r.now + max(after, 0), kind: timerWake, token: token})
+	r.setTimer(timer{at: r.now + max(after, 0), kind: timerWake, token: token})
 }
 
 // The next three are needed only with settings that New turns off: probes, messages to other routers and requests for the list.
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -3,6 +3,9 @@
 // timers is a heap ordered by time.
 type timers []timer
 
+// minTimers is the number of timers up to which none is looked at before its time.
+const minTimers = 4096
+
 type timer struct {
 	at    float64
 	token uint64
@@ -45,3 +48,34 @@
 		i = least
 	}
 }
+
+// removeIf removes the timers for which expired returns true.
+func (t *timers) removeIf(expired func(timer) bool) {
+	all := *t
+	*t = all[:0]
+	for _, n := range all { // at most as many have been pushed as were read: they share the memory
+		if !expired(n) {
+			t.push(n)
+		}
+	}
+}
+
+// setTimer sets a timer. Requests can end long before their timers are due, so the timers of ended ones are removed whenever their number has
+// doubled: the memory is bounded by the requests in progress and not by how many come within the longest time limit.
+func (r *Router) setTimer(n timer) {
+	r.timers.push(n)
+	if len(r.timers) <= r.maxTimers {
+		return
+	}
+	r.timers.removeIf(func(n timer) bool { return !r.timerHasEffect(n) })
+	r.maxTimers = max(minTimers, 2*len(r.timers))
+}
+
+// timerHasEffect reports whether a timer would do anything at its time.
+func (r *Router) timerHasEffect(n timer) bool {
+	if n.kind == timerWake {
+		return r.controller.AwaitsWake(n.token)
+	}
+	req := r.requests[uint32(n.token)]
+	return req != nil && req.attempt.Outstanding() && req.attempt.AttemptNumber == int(n.token>>32)
+}
