--- a/cmd/dunereach/flood_part_test.go
+++ b/cmd/dunereach/flood_part_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -90,21 +88,16 @@
 
 // usualClient is a client that sends a request each interval on one connection.
 type usualClient struct {
+	*fake.Client
 	t       testing.TB
 	outcome *usualOutcome
-	conn    net.Conn
 	mu      sync.Mutex
 	sentAt  map[int32]time.Time // of requests that have no answer yet
 }
 
 // runUsual runs one and counts the outcomes.
 func (o *usualOutcome) runUsual(ctx context.Context, w *cluster, client int) {
-	conn, err := net.Dial("tcp", w.addr)
-	if err != nil {
-		w.t.Error(err)
-		return
-	}
-	u := &usualClient{t: w.t, outcome: o, conn: conn, sentAt: map[int32]time.Time{}}
+	u := &usualClient{Client: fake.NewClient(w.t, w.addr), t: w.t, outcome: o, sentAt: map[int32]time.Time{}}
 	done := make(chan struct{})
 	go func() { u.readAnswers(); close(done) }()
 	ticker := time.NewTicker(usualInterval)
@@ -115,7 +108,7 @@
 	}
 	const lateAnswers = 2 * time.Second // how long late answers are waited for
 	time.Sleep(lateAnswers)
-	conn.Close()
+	u.Disconnect()
 	<-done
 	o.lost.Add(int64(len(u.sentAt)))
 }
@@ -127,27 +120,23 @@
 	u.sentAt[seq] = time.Now()
 	u.mu.Unlock()
 	u.outcome.sent.Add(1)
-	u.conn.Write(b)
+	u.SendRaw(b)
 }
 
+// readAnswers counts answers until the connection ends.
 func (u *usualClient) readAnswers() {
-	head := make([]byte, 4)
 	for {
-		if _, err := io.ReadFull(u.conn, head); err != nil {
-			return
-		}
-		frame := make([]byte, binary.BigEndian.Uint32(head))
-		if _, err := io.ReadFull(u.conn, frame); err != nil {
+		answer := u.NextAnswer()
+		var kind, seq int32
+		if _, err := fmt.Sscanf(answer, "%d/%d ", &kind, &seq); err != nil {
 			return
 		}
-		u.count(frame)
+		u.count(seq, strings.Contains(answer, " 0={"))
 	}
 }
 
 // count counts an answer.
-func (u *usualClient) count(frame []byte) {
-	r := thrift.NewReader(frame)
-	_, _, seq := r.MessageHeader()
+func (u *usualClient) count(seq int32, served bool) {
 	u.mu.Lock()
 	at, open := u.sentAt[seq]
 	delete(u.sentAt, seq)
@@ -157,7 +146,7 @@
 		u.t.Errorf("a second answer to %d", seq)
 	case time.Since(at) > usualTimeout+usualSlack:
 		u.outcome.late.Add(1)
-	case strings.Contains(fake.Format(frame), " 0={"):
+	case served:
 		u.outcome.served.Add(1)
 	default:
 		u.outcome.notServed.Add(1)
@@ -177,11 +166,6 @@
 		"ref", fmt.Sprintf("%04x%012x", 0xf000+client, n*floodBatch+k)}, fields...)...)
 }
 
-func cancelMessage(seq int32) []byte {
-	b := thrift.AppendField(thrift.BeginMessage(nil, thrift.Oneway, "cancel", 0), thrift.I32, 1)
-	return thrift.EndMessage(binary.BigEndian.AppendUint32(b, uint32(seq)))
-}
-
 // batchOf returns a function that makes a batch of messages.
 func batchOf(message func(client, n, k int) []byte) func(client, n int) []byte {
 	return func(client, n int) (b []byte) {
@@ -195,14 +179,14 @@
 var floods = []flood{
 	{name: "none"},
 	{name: "withdrawn", batch: batchOf(func(client, n, k int) []byte {
-		return append(floodCall(client, n, k), cancelMessage(int32(n*floodBatch+k+1))...)
+		return append(floodCall(client, n, k), fake.CancelMessage(int32(n*floodBatch+k+1))...)
 	})},
 	{name: "withdrawn together", batch: func(client, n int) (b []byte) {
 		for k := range floodBatch {
 			b = append(b, floodCall(client, n, k)...)
 		}
 		for k := range floodBatch {
-			b = append(b, cancelMessage(int32(n*floodBatch+k+1))...)
+			b = append(b, fake.CancelMessage(int32(n*floodBatch+k+1))...)
 		}
 		return b
 	}},
@@ -210,7 +194,7 @@
 		seq := int32(n*floodBatch + k + 1)
 		call := fake.Call(seq, "SELECT 1", "service", "order", "project", "acme", "allow", "30000", "effort", "20", "memory", "1",
 			"ref", fmt.Sprintf("%04x%012x", 0xf000+client, n*floodBatch+k))
-		return append(call, cancelMessage(seq)...)
+		return append(call, fake.CancelMessage(seq)...)
 	})},
 	{name: "requests", batch: batchOf(func(client, n, k int) []byte { return floodCall(client, n, k) })},
 	{name: "unknown names", batch: batchOf(func(client, n, k int) []byte {
@@ -224,10 +208,9 @@
 		return thrift.EndMessage(thrift.BeginMessage(nil, thrift.Call, fmt.Sprint("method", n, k), int32(n*floodBatch+k+1)))
 	})},
 	{name: "health checks", batch: batchOf(func(client, n, k int) []byte {
-		b := thrift.AppendField(thrift.BeginMessage(nil, thrift.Call, "health", int32(n*floodBatch+k+1)), thrift.Bool, 1)
-		return thrift.EndMessage(append(b, 1))
+		return fake.HealthMessage(int32(n*floodBatch + k + 1))
 	})},
-	{name: "cancels", batch: batchOf(func(client, n, k int) []byte { return cancelMessage(int32(n*floodBatch + k + 1)) })},
+	{name: "cancels", batch: batchOf(func(client, n, k int) []byte { return fake.CancelMessage(int32(n*floodBatch + k + 1)) })},
 	{name: "many fields", batch: func(client, n int) []byte {
 		pairs := make([]string, 2*8000)
 		return fake.Call(int32(n+1), "SELECT 1", pairs...)
@@ -235,7 +218,7 @@
 	{name: "unreadable", batch: batchOf(func(client, n, k int) []byte { return []byte{0, 0, 0, 8, 1, 2, 3, 4, 5, 6, 7, 8} }), reconnects: true},
 	{name: "new connections", batch: func(client, n int) (b []byte) {
 		for k := range 16 {
-			b = append(b, append(floodCall(client, n, k), cancelMessage(int32(n*floodBatch+k+1))...)...)
+			b = append(b, append(floodCall(client, n, k), fake.CancelMessage(int32(n*floodBatch+k+1))...)...)
 		}
 		return b
 	}, reconnects: true},
@@ -269,21 +252,6 @@
 	}
 }
 
-// answerSlowly lets the servers answer after a time that is often about as long as clients wait.
-func (w *cluster) answerSlowly(ctx context.Context) {
-	const shortest, longest = 20, 1020 // milliseconds
-	for {
-		select {
-		case m := <-w.received:
-			if m.Words[0] == "fetch" {
-				time.AfterFunc(time.Duration(shortest+rand.IntN(longest-shortest))*time.Millisecond, func() { m.Answer("served", "count=1,ticks=20,footprint=1", "x\t\t\n") })
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // play lets a number of clients flood a router that gets a part of a core, beside usual clients.
 func (f flood) play(t *testing.T, clients, parts int) *usualOutcome {
 	w := prepareCluster(t, 3, floodSockets)
@@ -299,7 +267,7 @@
 	defer cancel()
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	go w.answerSlowly(serving)
+	go w.answer(serving, answering{shortest: 20 * time.Millisecond, longest: 1020 * time.Millisecond}) // often about as long as clients wait
 	outcome := &usualOutcome{}
 	var group sync.WaitGroup
 	for k := range usualClients {
--- a/cmd/dunereach/results_together_test.go
+++ b/cmd/dunereach/results_together_test.go
@@ -26,28 +26,10 @@
 	w.waitForLog("serving")
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go w.answerLater(ctx, 30*time.Millisecond)
+	go w.answer(ctx, answering{pages: pagesOfResult, shortest: 30 * time.Millisecond})
 	return w
 }
 
-// answerLater lets the servers answer each request after a delay with a result of the largest size.
-func (w *cluster) answerLater(ctx context.Context, delay time.Duration) {
-	page := strings.Repeat(strings.Repeat("x", 57)+"\t\t\n", pageSize/60)
-	for {
-		select {
-		case m := <-w.received:
-			switch m.Words[0] {
-			case "fetch":
-				time.AfterFunc(delay, func() { m.Answer("served", fmt.Sprintf("count=%d,ticks=20,footprint=8", pagesOfResult), page) })
-			case "more":
-				m.Answer("rows", "pos="+m.Words[2], page)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // sendTogether sends as many requests at once as a connection carries.
 func sendTogether(c *fake.Client, client int) {
 	for k := range requestsAtOnce {
--- a/cmd/dunereach/shared_limits_test.go
+++ b/cmd/dunereach/shared_limits_test.go
@@ -17,8 +17,6 @@
 var sharedLimitsTable = flag.Bool("shared-limits-table", false, "play all sizes of TestSharedLimits and print a table")
 
 const (
-	pageSize         = 6000 // bytes; a result has at most 48,000
-	pagesOfResult    = 8
 	limitedClients   = 12                     // clients that stay inside all limits
 	limitedTimeoutMs = 4000                   // that these clients allow
 	grantedDelay     = 500 * time.Millisecond // by which an answer may be late and only earns nothing
@@ -36,24 +34,6 @@
 	peakMB                             float64
 }
 
-// answerLargeResults lets the servers answer each request with a result of the largest size.
-func (w *cluster) answerLargeResults(ctx context.Context) {
-	page := strings.Repeat(strings.Repeat("x", 57)+"\t\t\n", pageSize/60)
-	for {
-		select {
-		case m := <-w.received:
-			switch m.Words[0] {
-			case "fetch":
-				m.Answer("served", fmt.Sprintf("count=%d,ticks=1,footprint=1", pagesOfResult), page)
-			case "more":
-				m.Answer("rows", "pos="+m.Words[2], page)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // limitsRequest returns a request of a client that has not sent one with this number.
 func limitsRequest(seq int32, client, n int, statement string) []byte {
 	return fake.Call(seq, statement, "service", "lookup", "project", "acme", "allow", fmt.Sprint(limitedTimeoutMs), "ref", fmt.Sprintf("%08x%08x", client, n))
@@ -139,7 +119,7 @@
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	for range 4 {
-		go w.answerLargeResults(serving)
+		go w.answer(serving, answering{pages: pagesOfResult})
 	}
 	defer cancel()
 	r := &limitsResult{}
--- a/cmd/dunereach/slow_writers_test.go
+++ b/cmd/dunereach/slow_writers_test.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	go w.answerTwoPages(serving)
+	go w.answer(serving, answering{pages: 2}) // just within what buffers are kept for
 	r := &limitsResult{}
 	var usual, slow sync.WaitGroup
 	for k := range slowClients {
@@ -113,21 +113,3 @@
 	for ctx.Err() == nil && !strings.Contains(c.NextAnswer(), "closed") {
 	}
 }
-
-// answerTwoPages lets the servers answer each request with a result that is just within what buffers are kept for.
-func (w *cluster) answerTwoPages(ctx context.Context) {
-	page := strings.Repeat(strings.Repeat("x", 57)+"\t\t\n", pageSize/60)
-	for {
-		select {
-		case m := <-w.received:
-			switch m.Words[0] {
-			case "fetch":
-				m.Answer("served", "count=2,ticks=1,footprint=1", page)
-			case "more":
-				m.Answer("rows", "pos="+m.Words[2], page)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/fake/fake.go
+++ b/internal/fake/fake.go
@@ -309,10 +309,19 @@
 	return thrift.EndMessage(thrift.AppendBytes(thrift.AppendField(b, thrift.String, 2), body))
 }
 
-// Cancel cancels a request.
-func (c *Client) Cancel(seq int32) {
+// CancelMessage returns the message that cancels a request.
+func CancelMessage(seq int32) []byte {
 	b := thrift.AppendField(thrift.BeginMessage(nil, thrift.Oneway, "cancel", 0), thrift.I32, 1)
-	c.SendRaw(thrift.EndMessage(binary.BigEndian.AppendUint32(b, uint32(seq))))
+	return thrift.EndMessage(binary.BigEndian.AppendUint32(b, uint32(seq)))
+}
+
+// Cancel cancels a request.
+func (c *Client) Cancel(seq int32) { c.SendRaw(CancelMessage(seq)) }
+
+// HealthMessage returns the message of a health check.
+func HealthMessage(seq int32) []byte {
+	b := thrift.AppendField(thrift.BeginMessage(nil, thrift.Call, "health", seq), thrift.Bool, 1)
+	return thrift.EndMessage(append(b, 1))
 }
 
 // Health sends a health check and reports whether the answer is right.
@@ -325,8 +334,7 @@
 // SendHealthCheck sends the request of Health without reading its answer.
 func (c *Client) SendHealthCheck() {
 	c.seq++
-	b := thrift.AppendField(thrift.BeginMessage(nil, thrift.Call, "health", c.seq), thrift.Bool, 1)
-	c.SendRaw(thrift.EndMessage(append(b, 1)))
+	c.SendRaw(HealthMessage(c.seq))
 }
 
 // SendRaw sends bytes unchanged. A failed write shows in the next answer that is read.
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -34,9 +34,9 @@
 	Rejected(seq int32, pause float64, waitInfo *WaitInfo)
 	Failed(seq int32)
 	AddStatementBytes(bytes int)
-	StatementBytes() int // size of the statements of its connection's requests
-	AddResultBytes(bytes int)
-	ResultBytes() int // memory for results to its connection: reserved, and queued for writing
+	StatementBytes() int      // size of the statements of its connection's requests
+	AddResultBytes(bytes int) // counts memory as reserved for results to its connection, or as released if negative
+	ResultBytes() int         // memory for results to its connection: reserved, and queued for writing
 }
 
 // WaitInfo is sent with an answer or a rejection if the operator's file enables it. All values are in seconds.
@@ -63,7 +63,7 @@
 	Append(b []byte) int64
 	Queued() int // bytes that are queued or being written
 	Finish()
-	Drop()
+	Drop()              // closes it at once
 	InputPending() bool // bytes have arrived that were not fed yet
 	InputState() transport.InputState
 	LateInputState() transport.InputState // of input that is being fed, zero if it was read promptly
--- a/internal/transport/pacing.go
+++ b/internal/transport/pacing.go
@@ -35,10 +35,10 @@
 // Pace is the state of pacing of a goroutine that waits for input: a connection's reader, or one that accepts connections.
 type Pace struct {
 	pacer     *pacer
-	readyAt   time.Time // when the goroutine was ready for the present input
-	reads     int       // reads in a row that found input at once, fewer for each that did not
-	streaming bool      // counted in the pacer
-	debt      time.Duration
+	readyAt   time.Time     // when the goroutine was ready for the present input
+	reads     int           // reads in a row that found input at once, fewer for each that did not
+	streaming bool          // counted in the pacer
+	debt      time.Duration // by which it is to pause, once that is minPause
 }
 
 // NewPace returns the state of pacing for a further goroutine, which must call End when it ends.
